--- /dev/null
+++ b/app/src/main/java/org/boragegap/app/Command.java
@@ -0,0 +1,20 @@
+package org.boragegap.app;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+/** One subcommand. */
+interface Command {
+
+    /** Its name on the command line. */
+    String name();
+
+    /** Arguments and purpose, for the help. */
+    String usage();
+
+    /** Its options; {@code --help} comes by itself. */
+    Options options();
+
+    /** Runs it. */
+    ExitCode run(CommandLine line) throws Exception;
+}
--- /dev/null
+++ b/app/src/main/java/org/boragegap/app/SampleRun.java
@@ -0,0 +1,226 @@
+package org.boragegap.app;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.HdrHistogram.Histogram;
+import org.boragegap.http.HttpCall;
+import org.boragegap.http.HttpCaller;
+import org.boragegap.http.HttpResult;
+import org.boragegap.standin.TargetStandin;
+
+/** Submits the sample jobs and checks every answer. */
+final class SampleRun {
+    private static final int JOBS = 24;
+    private static final int TASKS_PER_JOB = 12;
+    private static final int REQUESTS = 60;
+    private static final int TASK_MS = 50;
+    private static final int CONNECTIONS = 128;
+    private static final long TIMEOUT_MS = 30_000;
+    private static final int OK = 200;
+    private static final double RATIO_UNIT = 1_000.0;
+
+    /**
+     * What the run gave.
+     *
+     * @param jobs jobs submitted
+     * @param requests requests submitted
+     * @param wrong answers that were not whole and right
+     * @param tasksStarted distinct tasks started, as the stand-ins counted
+     * @param startedTwice tasks that were started more than once
+     * @param ratioP50 response time over the ideal, median
+     * @param ratioP99 response time over the ideal, 99th percentile
+     * @param wastedMessages attempts that were refused or lost
+     */
+    record Summary(
+            int jobs,
+            int requests,
+            int wrong,
+            long tasksStarted,
+            long startedTwice,
+            double ratioP50,
+            double ratioP99,
+            long wastedMessages) {
+
+        boolean good() {
+            long expected = (long) jobs * TASKS_PER_JOB + requests;
+            return wrong == 0 && startedTwice == 0 && tasksStarted == expected;
+        }
+
+        String text() {
+            return String.format(
+                    Locale.ROOT,
+                    "jobs %d, requests %d, answers not whole %d%n"
+                            + "tasks started %d, started twice %d%n"
+                            + "response time over the ideal: p50 %.2f, p99 %.2f%n"
+                            + "wasted messages %d%n",
+                    jobs,
+                    requests,
+                    wrong,
+                    tasksStarted,
+                    startedTwice,
+                    ratioP50,
+                    ratioP99,
+                    wastedMessages);
+        }
+    }
+
+    private final EmbeddedDeployment mDeployment;
+    private final boolean mShowProgress;
+    private final ObjectMapper mMapper = new ObjectMapper();
+    private final Histogram mRatios = new Histogram(3);
+    private final AtomicInteger mWrong = new AtomicInteger();
+    private final AtomicInteger mDone = new AtomicInteger();
+
+    SampleRun(EmbeddedDeployment deployment, boolean showProgress) {
+        mDeployment = deployment;
+        mShowProgress = showProgress;
+    }
+
+    Summary run() throws IOException, InterruptedException {
+        HttpCaller http = HttpCaller.create(CONNECTIONS);
+        http.start();
+        CountDownLatch left = new CountDownLatch(JOBS + REQUESTS);
+        List<String> callers = mDeployment.callerAddresses();
+        for (int i = 0; i < JOBS; i++) {
+            String address = callers.get(i % callers.size());
+            send(http, address, "/v1/jobs", job(i), jobResults(i), left);
+            TimeUnit.MILLISECONDS.sleep(TASK_MS / 2);
+        }
+        for (int i = 0; i < REQUESTS; i++) {
+            String address = callers.get(i % callers.size());
+            String path = "/v1/services/catalogue/requests";
+            send(http, address, path, request(i), List.of("seats:" + i), left);
+        }
+        boolean allAnswered = left.await(TIMEOUT_MS * 2, TimeUnit.MILLISECONDS);
+        http.stop();
+        if (!allAnswered) {
+            mWrong.addAndGet((int) left.getCount());
+        }
+        return summary();
+    }
+
+    private static String job(int number) {
+        String kind = number % 2 == 0 ? "prerequisite-audit" : "pipe-check";
+        List<String> tasks = new ArrayList<>();
+        for (int i = 0; i < TASKS_PER_JOB; i++) {
+            tasks.add(
+                    "{\"cpuMillis\":500,\"memoryMb\":64,\"expectedMs\":50,\"payload\":"
+                            + payload("job" + number + "/" + i)
+                            + "}");
+        }
+        String team = number % 2 == 0 ? "registrar" : "north-desk";
+        return "{\"team\":\""
+                + team
+                + "\",\"kind\":\""
+                + kind
+                + "\",\"tasks\":["
+                + String.join(",", tasks)
+                + "]}";
+    }
+
+    private static String request(int number) {
+        return "{\"team\":\"students\",\"kind\":\"seat-check\",\"idempotent\":true,\"payload\":"
+                + payload("seats:" + number)
+                + "}";
+    }
+
+    private static String payload(String result) {
+        return "\"{\\\"runMs\\\":" + TASK_MS + ",\\\"result\\\":\\\"" + result + "\\\"}\"";
+    }
+
+    private static List<String> jobResults(int number) {
+        List<String> results = new ArrayList<>();
+        for (int i = 0; i < TASKS_PER_JOB; i++) {
+            results.add("job" + number + "/" + i);
+        }
+        return results;
+    }
+
+    private void send(
+            HttpCaller http,
+            String address,
+            String path,
+            String body,
+            List<String> expected,
+            CountDownLatch left) {
+        long startedNs = System.nanoTime();
+        http.send(
+                HttpCall.post(
+                        address,
+                        path,
+                        body,
+                        TIMEOUT_MS,
+                        result -> {
+                            check(result, expected, startedNs);
+                            left.countDown();
+                        }));
+    }
+
+    private void check(HttpResult result, List<String> expected, long startedNs) {
+        double tookMs = (System.nanoTime() - startedNs) / 1e6;
+        synchronized (mRatios) {
+            mRatios.recordValue((long) (tookMs / TASK_MS * RATIO_UNIT));
+        }
+        if (!expected.equals(results(result))) {
+            mWrong.incrementAndGet();
+        }
+        int done = mDone.incrementAndGet();
+        if (mShowProgress) {
+            System.out.printf("\r%d of %d answered", done, JOBS + REQUESTS);
+            System.out.print(done == JOBS + REQUESTS ? System.lineSeparator() : "");
+            System.out.flush();
+        }
+    }
+
+    private List<String> results(HttpResult result) {
+        if (!(result instanceof HttpResult.Response response) || response.status() != OK) {
+            return List.of();
+        }
+        try {
+            JsonNode body = mMapper.readTree(response.text());
+            List<String> results = new ArrayList<>();
+            if (body.has("result")) {
+                results.add(body.get("result").asText());
+            }
+            body.path("results").forEach(node -> results.add(node.asText()));
+            return results;
+        } catch (IOException e) {
+            return List.of();
+        }
+    }
+
+    private Summary summary() throws IOException, InterruptedException {
+        long started = 0;
+        long twice = 0;
+        for (TargetStandin target : mDeployment.targets()) {
+            for (AtomicInteger count : target.starts().values()) {
+                started++;
+                twice += count.get() > 1 ? 1 : 0;
+            }
+        }
+        long wasted = 0;
+        for (String operator : mDeployment.operatorAddresses()) {
+            JsonNode dump = mMapper.readTree(Client.send(operator, "GET", "/dump", "", "").body());
+            JsonNode counters = dump.path("counters");
+            wasted += counters.path("REFUSED_STARTS").asLong();
+            wasted += counters.path("LOST_STARTS").asLong();
+            wasted += counters.path("RETRIES").asLong();
+        }
+        return new Summary(
+                JOBS,
+                REQUESTS,
+                mWrong.get(),
+                started,
+                twice,
+                mRatios.getValueAtPercentile(50) / RATIO_UNIT,
+                mRatios.getValueAtPercentile(99) / RATIO_UNIT,
+                wasted);
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/boragegap/app/ServeCommand.java
@@ -0,0 +1,72 @@
+package org.boragegap.app;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.core.config.Configurator;
+import org.boragegap.entry.EntryService;
+import org.boragegap.entry.Setting;
+import org.boragegap.entry.Settings;
+
+/** Runs an entry VM's process until it has drained. */
+final class ServeCommand implements Command {
+    @Override
+    public String name() {
+        return "serve";
+    }
+
+    @Override
+    public String usage() {
+        return "-c FILE: runs an entry process";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(
+                        Option.builder("c")
+                                .longOpt("config")
+                                .hasArg()
+                                .argName("FILE")
+                                .required()
+                                .desc("settings")
+                                .build());
+    }
+
+    @Override
+    public ExitCode run(CommandLine line) throws Exception {
+        Settings settings = CheckConfigCommand.load(line.getOptionValue("c"));
+        if (settings == null) {
+            return ExitCode.USAGE;
+        }
+        System.setProperty("boragegap.vm", settings.text(Setting.PEER_ADDRESS));
+        System.setProperty("boragegap.domain", settings.text(Setting.FAILURE_DOMAIN));
+        Configurator.reconfigure();
+        Configurator.setRootLevel(Level.toLevel(settings.text(Setting.LOG_LEVEL)));
+        EntryService service = EntryService.create(settings);
+        service.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drainAndHalt(service), "drain"));
+        service.awaitDrained();
+        finish(service);
+        return ExitCode.OK;
+    }
+
+    /** On SIGTERM: everything in flight is finished before the process ends. */
+    private static void drainAndHalt(EntryService service) {
+        try {
+            service.drain();
+            service.awaitDrained();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        finish(service);
+    }
+
+    private static synchronized void finish(EntryService service) {
+        service.stop();
+        LogManager.shutdown();
+        Runtime.getRuntime().halt(ExitCode.OK.code());
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/boragegap/app/StandinCommand.java
@@ -0,0 +1,129 @@
+package org.boragegap.app;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.boragegap.core.job.Need;
+import org.boragegap.platform.PlatformJson;
+import org.boragegap.platform.VmList;
+import org.boragegap.standin.LogStandin;
+import org.boragegap.standin.Standin;
+import org.boragegap.standin.TargetStandin;
+import org.boragegap.standin.VmListStandin;
+
+/** Runs stand-ins of what lies outside, for tests and a first look. */
+final class StandinCommand implements Command {
+    private static final String HOST = "127.0.0.1";
+
+    @Override
+    public String name() {
+        return "standin";
+    }
+
+    @Override
+    public String usage() {
+        return "log|vms|worker|minion --ports P,P,...: stand-ins on loopback, for trials";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(
+                        Option.builder()
+                                .longOpt("ports")
+                                .hasArg()
+                                .argName("P,P,...")
+                                .required()
+                                .desc("ports: listeners of one log or list, or a target each")
+                                .build())
+                .addOption(valued("retention-ms", "log: how long a record is kept"))
+                .addOption(valued("lag-ms", "vms: lag of the list"))
+                .addOption(valued("list", "vms: file with the first list"))
+                .addOption(valued("cpu-millis", "worker: thousandths of a core"))
+                .addOption(valued("memory-mb", "worker: memory in MiB"))
+                .addOption(valued("accelerators", "worker: accelerators"))
+                .addOption(valued("slots", "tasks at once"));
+    }
+
+    private static Option valued(String name, String meaning) {
+        return Option.builder().longOpt(name).hasArg().argName("VALUE").desc(meaning).build();
+    }
+
+    @Override
+    public ExitCode run(CommandLine line) throws Exception {
+        if (line.getArgList().size() != 1) {
+            throw new UsageException("expected one of log, vms, worker, minion");
+        }
+        List<Integer> ports =
+                Arrays.stream(line.getOptionValue("ports").split(","))
+                        .map(Integer::parseInt)
+                        .toList();
+        for (Standin standin : standins(line, ports)) {
+            standin.start();
+        }
+        System.out.println("ready");
+        System.out.flush();
+        new CountDownLatch(1).await();
+        return ExitCode.OK;
+    }
+
+    private static List<Standin> standins(CommandLine line, List<Integer> ports) throws Exception {
+        return switch (line.getArgList().get(0)) {
+            case "log" ->
+                    List.of(
+                            LogStandin.create(
+                                    HOST, ports, number(line, "retention-ms", 3_600_000)));
+            case "vms" ->
+                    List.of(
+                            VmListStandin.create(
+                                    HOST, ports, number(line, "lag-ms", 1_000), list(line)));
+            case "worker" -> targets(line, ports, true);
+            case "minion" -> targets(line, ports, false);
+            default -> throw new UsageException("expected one of log, vms, worker, minion");
+        };
+    }
+
+    private static VmList list(CommandLine line) throws Exception {
+        if (!line.hasOption("list")) {
+            return new VmList(List.of());
+        }
+        String text = Files.readString(Path.of(line.getOptionValue("list")));
+        return PlatformJson.read(text, VmList.class);
+    }
+
+    private static List<Standin> targets(CommandLine line, List<Integer> ports, boolean workers)
+            throws UsageException {
+        ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+        Need capacity =
+                new Need(
+                        (int) number(line, "cpu-millis", 16_000),
+                        (int) number(line, "memory-mb", 32_768),
+                        (int) number(line, "accelerators", 0));
+        int slots = (int) number(line, "slots", workers ? 64 : 8);
+        List<Standin> targets = new ArrayList<>();
+        for (int port : ports) {
+            targets.add(
+                    workers
+                            ? TargetStandin.worker(HOST, port, capacity, slots, timer)
+                            : TargetStandin.minion(HOST, port, slots, timer));
+        }
+        return targets;
+    }
+
+    private static long number(CommandLine line, String option, long fallback)
+            throws UsageException {
+        try {
+            return Long.parseLong(line.getOptionValue(option, Long.toString(fallback)));
+        } catch (NumberFormatException e) {
+            throw new UsageException("--" + option + ": expected a whole number");
+        }
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/boragegap/app/package-info.java
@@ -0,0 +1,2 @@
+/** The command line of the one binary. */
+package org.boragegap.app;
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/claim/ClaimVerdict.java
@@ -0,0 +1,33 @@
+package org.boragegap.core.claim;
+
+/** What became of the wish to claim a submission. */
+public sealed interface ClaimVerdict {
+
+    /** This member alone may start the submission's tasks. */
+    record Granted() implements ClaimVerdict {}
+
+    /**
+     * Another member holds the claim; ask it.
+     *
+     * @param holder the member
+     * @param reachable whether the holder is part of the current view
+     */
+    record HeldBy(Member holder, boolean reachable) implements ClaimVerdict {}
+
+    /** The id was used with another body. */
+    record Conflict() implements ClaimVerdict {}
+
+    /**
+     * Not claimed, and nobody else holds it.
+     *
+     * @param reason one line for the caller
+     */
+    record NotRun(String reason) implements ClaimVerdict {}
+
+    /**
+     * Not claimed here, but an earlier submission of the id can't be ruled out.
+     *
+     * @param reason one line for the caller
+     */
+    record Unknown(String reason) implements ClaimVerdict {}
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/dispatch/Dispatcher.java
@@ -0,0 +1,309 @@
+package org.boragegap.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.boragegap.core.ClockReading;
+import org.boragegap.core.bundle.BundleChain;
+import org.boragegap.core.claim.ClaimAction;
+import org.boragegap.core.claim.ClaimLimits;
+import org.boragegap.core.claim.ClaimProtocol;
+import org.boragegap.core.claim.DomainView;
+import org.boragegap.core.claim.Member;
+import org.boragegap.core.job.Answer;
+import org.boragegap.core.job.SubmissionId;
+import org.boragegap.core.membership.ListedVm;
+import org.boragegap.core.placement.Ownership;
+import org.boragegap.core.placement.Target;
+import org.boragegap.core.placement.TargetPool;
+
+/**
+ * One entry VM's decisions: where a submission belongs, who may start it, what runs where, and what
+ * its callers are told. Pure: events and a clock value in, actions out.
+ */
+public final class Dispatcher {
+    private static final long VM_GONE_AFTER_MS = 60_000;
+
+    private final Member mSelf;
+    private final DispatchSettings mSettings;
+    private final Counters mCounters = new Counters();
+    private final ClaimProtocol mClaims;
+    private final List<ClaimAction> mClaimActions = new ArrayList<>();
+    private final BundleCourier mBundles;
+    private final TargetPool mTargets;
+    private final JobBoard mJobs;
+    private final EntryVms mEntryVms = new EntryVms();
+    private final Intake mIntake;
+    private final Drain mDrain = Drain.none();
+    private final Map<String, String> mOwners = new HashMap<>();
+    private final Set<String> mSiblings = new HashSet<>();
+    private long mOwnersViewUid;
+    private long mSiblingsViewUid;
+
+    private Dispatcher(
+            Member self, DispatchSettings settings, ClaimLimits limits, RandomGenerator random) {
+        mSelf = self;
+        mSettings = settings;
+        mClaims =
+                ClaimProtocol.create(self, settings.domain(), limits, () -> 1 | random.nextLong());
+        mBundles = new BundleCourier(settings.domains(), self.address(), limits, mCounters);
+        mTargets = TargetPool.create(settings.placement(), random);
+        mTargets.own(this::owns);
+        mJobs =
+                new JobBoard(
+                        settings,
+                        mTargets,
+                        mBundles.chain()::content,
+                        this::siblings,
+                        mCounters,
+                        this::releaseClaim);
+        mIntake =
+                new Intake(
+                        self.address(),
+                        settings,
+                        mClaims,
+                        mClaimActions,
+                        mJobs,
+                        mEntryVms,
+                        mCounters);
+    }
+
+    /**
+     * Makes the dispatcher of one run of an entry process.
+     *
+     * @param self this run
+     * @param settings what it is told at its start
+     * @param limits times that bound the claim protocol
+     * @param random seeded source of random numbers
+     */
+    public static Dispatcher create(
+            Member self, DispatchSettings settings, ClaimLimits limits, RandomGenerator random) {
+        return new Dispatcher(self, settings, limits, random);
+    }
+
+    /** Takes an event and appends the actions that follow from it. */
+    public void on(Event event, ClockReading clock, List<Action> out) {
+        handle(event, clock, out);
+        settleClaims(clock, out);
+        mJobs.pump(clock, out);
+        settleClaims(clock, out);
+    }
+
+    private void handle(Event event, ClockReading clock, List<Action> out) {
+        if (event instanceof Event.Submitted submitted) {
+            mIntake.onSubmitted(submitted, clock, out);
+        } else if (event instanceof Event.AttemptEnded ended) {
+            mJobs.onAttemptEnded(ended.attempt(), ended.outcome(), clock, out);
+        } else if (event instanceof Event.PeerSpoke spoke) {
+            mClaims.onMessage(spoke.from(), spoke.message(), clock, mClaimActions);
+        } else if (event instanceof Event.SiblingLent lent) {
+            mJobs.onLoanMessage(lent.from(), lent.message(), clock, out);
+        } else if (event instanceof Event.ForwardAnswered answered) {
+            mIntake.onForwardAnswered(answered, out);
+        } else if (event instanceof Event.ForwardLost lost) {
+            mIntake.onForwardLost(lost, clock, out);
+        } else if (event instanceof Event.Cancelled cancelled) {
+            onCancelled(cancelled, clock, out);
+        } else if (event instanceof Event.LogRead read) {
+            mClaims.onLog(read.batch(), clock, mClaimActions);
+            mBundles.onLogRead(read.bundles(), clock);
+        } else if (event instanceof Event.BundlePassedOn passed) {
+            mBundles.chain().adopt(passed.bundle(), clock.wallMs());
+        } else if (event instanceof Event.VmsListed listed) {
+            onVmsListed(listed.vms(), clock);
+        } else if (event instanceof Event.LoadReported load) {
+            mTargets.onLoad(load.address(), load.load());
+        } else if (event instanceof Event.DrainAsked asked) {
+            mIntake.drain();
+            mDrain.start(clock.monotonicMs() + asked.boundMs(), answered());
+        } else if (event instanceof Event.Ticked) {
+            onTick(clock, out);
+        }
+    }
+
+    /** True when callers may be sent here. */
+    public boolean ready(ClockReading clock) {
+        return mClaims.ready(clock) && !mDrain.active();
+    }
+
+    /** What this dispatcher did so far. */
+    public Counters counters() {
+        return mCounters;
+    }
+
+    /** The bundles as known here. */
+    public BundleChain bundles() {
+        return mBundles.chain();
+    }
+
+    /** The answer of a submission that is known here. */
+    public Optional<Answer> answerTo(SubmissionId id) {
+        return mJobs.find(id).flatMap(Job::answer);
+    }
+
+    /** True when the submission is held here. */
+    public boolean knows(SubmissionId id) {
+        return mJobs.find(id).isPresent();
+    }
+
+    /** Other VMs that may hold a submission which is not known here. */
+    public Set<String> likelyHolders(SubmissionId id) {
+        return mIntake.likelyHolders(id);
+    }
+
+    /** What this dispatcher believes, for a dump. */
+    public DispatcherState state(ClockReading clock) {
+        return new DispatcherState(
+                mSelf,
+                mSettings.domain(),
+                ready(clock),
+                mDrain.active(),
+                mClaims.view(),
+                mClaims.claimsKept(),
+                mClaims.claimsPending(),
+                mJobs.jobsKept(),
+                mJobs.unanswered(),
+                mJobs.queuedTasks(),
+                mJobs.runningAttempts(),
+                mIntake.forwards(),
+                mJobs.runningByTeam(),
+                mEntryVms.byDomain(),
+                mTargets.all().stream()
+                        .map(target -> TargetBelief.of(target, owns(target.target())))
+                        .toList(),
+                mBundles.chain().version(),
+                mBundles.chain().sinceWallMs(),
+                mCounters.all());
+    }
+
+    private long answered() {
+        return mCounters.count(Counters.Name.COMPLETE)
+                + mCounters.count(Counters.Name.FAILED)
+                + mCounters.count(Counters.Name.MAY_HAVE_RUN)
+                + mCounters.count(Counters.Name.NOT_RUN);
+    }
+
+    /** The other members of the view, which share this failure domain's targets. */
+    private Set<String> siblings() {
+        Optional<DomainView> view = mClaims.view();
+        long uid = view.map(DomainView::uid).orElse(0L);
+        if (uid != mSiblingsViewUid) {
+            mSiblingsViewUid = uid;
+            mSiblings.clear();
+            view.ifPresent(v -> v.members().forEach(member -> mSiblings.add(member.address())));
+            mSiblings.remove(mSelf.address());
+        }
+        return mSiblings;
+    }
+
+    /** Each target belongs to one member of the view, which alone accounts for its room. */
+    private boolean owns(Target target) {
+        Optional<DomainView> view = mClaims.view();
+        if (view.isEmpty()) {
+            return true;
+        }
+        if (view.get().uid() != mOwnersViewUid) {
+            mOwnersViewUid = view.get().uid();
+            mOwners.clear();
+        }
+        String owner = mOwners.get(target.address());
+        if (owner == null) {
+            List<String> members = view.get().members().stream().map(Member::address).toList();
+            owner = Ownership.of(target.address(), members).orElse(mSelf.address());
+            mOwners.put(target.address(), owner);
+        }
+        return owner.equals(mSelf.address());
+    }
+
+    private void settleClaims(ClockReading clock, List<Action> out) {
+        while (!mClaimActions.isEmpty()) {
+            List<ClaimAction> actions = List.copyOf(mClaimActions);
+            mClaimActions.clear();
+            for (ClaimAction action : actions) {
+                settle(action, clock, out);
+            }
+        }
+    }
+
+    private void settle(ClaimAction action, ClockReading clock, List<Action> out) {
+        if (action instanceof ClaimAction.Send send) {
+            mCounters.add(Counters.Name.CLAIM_MESSAGES);
+            out.add(new Action.Tell(send.address(), send.message()));
+        } else if (action instanceof ClaimAction.Append append) {
+            mCounters.add(Counters.Name.APPENDS);
+            out.add(new Action.AppendView(append.record()));
+        } else if (action instanceof ClaimAction.Decide decide) {
+            mIntake.onDecided(decide, clock, out);
+        }
+    }
+
+    private void releaseClaim(SubmissionId id) {
+        if (id.minter().isEmpty()) {
+            mClaims.release(id.key(), mClaimActions);
+        }
+    }
+
+    private void onCancelled(Event.Cancelled event, ClockReading clock, List<Action> out) {
+        Optional<Job> job = mJobs.find(event.id());
+        if (job.isPresent()) {
+            mJobs.cancel(job.get(), clock, out);
+            return;
+        }
+        if (event.hops() > 0) {
+            return;
+        }
+        for (String address : mIntake.likelyHolders(event.id())) {
+            out.add(new Action.ForwardCancel(address, event.id(), event.hops() + 1));
+        }
+    }
+
+    private void onVmsListed(List<ListedVm> vms, ClockReading clock) {
+        mEntryVms.onListed(vms, clock.monotonicMs());
+        mClaims.onVmsGone(mEntryVms.goneFor(VM_GONE_AFTER_MS, clock.monotonicMs()));
+        List<Target> targets = new ArrayList<>();
+        Set<String> leaving = new HashSet<>();
+        for (ListedVm vm : vms) {
+            if (vm.kind().role().isEmpty() || !vm.domain().equals(mSettings.domain())) {
+                continue;
+            }
+            targets.add(vm.target());
+            if (vm.leaving()) {
+                leaving.add(vm.address());
+            }
+        }
+        mTargets.onListed(targets, leaving);
+    }
+
+    private void onTick(ClockReading clock, List<Action> out) {
+        mClaims.onTick(clock, mClaimActions);
+        mJobs.onTick(clock, out);
+        mIntake.onTick(clock, out);
+        mBundles.onTick(mEntryVms, clock, out);
+        advanceDrain(clock, out);
+    }
+
+    private void advanceDrain(ClockReading clock, List<Action> out) {
+        if (!mDrain.active() || mDrain.reported()) {
+            return;
+        }
+        boolean overdue = mDrain.overdue(clock.monotonicMs());
+        if (overdue) {
+            mDrain.addFailed(mJobs.failAll("this VM is going away", clock, out));
+        }
+        boolean idle = mJobs.unanswered() == 0 && mIntake.idle() && mJobs.runningAttempts() == 0;
+        if (!idle && !overdue) {
+            return;
+        }
+        if (mDrain.leave(clock.monotonicMs())) {
+            mClaims.leave(mClaimActions);
+        }
+        if (overdue || mClaims.outOfView() || mDrain.leftLongAgo(clock.monotonicMs())) {
+            out.add(mDrain.report(answered()));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/dispatch/Drain.java
@@ -0,0 +1,65 @@
+package org.boragegap.core.dispatch;
+
+/** The progress of a graceful shutdown. */
+final class Drain {
+    private boolean mActive;
+    private static final long LEAVE_WITHIN_MS = 2_000;
+    private static final long NOT_YET = -1;
+
+    private boolean mReported;
+    private long mLeavingSinceMs = NOT_YET;
+    private long mBoundMs;
+    private long mAnsweredBefore;
+    private long mFailed;
+
+    private Drain() {}
+
+    static Drain none() {
+        return new Drain();
+    }
+
+    /** Starts the drain; asking twice changes nothing. */
+    void start(long boundMs, long answeredBefore) {
+        if (mActive) {
+            return;
+        }
+        mActive = true;
+        mBoundMs = boundMs;
+        mAnsweredBefore = answeredBefore;
+    }
+
+    boolean active() {
+        return mActive;
+    }
+
+    boolean reported() {
+        return mReported;
+    }
+
+    boolean overdue(long nowMs) {
+        return mActive && nowMs >= mBoundMs;
+    }
+
+    /** True once: the time to ask the siblings for a view without this VM. */
+    boolean leave(long nowMs) {
+        if (mLeavingSinceMs != NOT_YET) {
+            return false;
+        }
+        mLeavingSinceMs = nowMs;
+        return true;
+    }
+
+    /** The siblings did not answer; they will notice by themselves. */
+    boolean leftLongAgo(long nowMs) {
+        return mLeavingSinceMs != NOT_YET && nowMs - mLeavingSinceMs > LEAVE_WITHIN_MS;
+    }
+
+    void addFailed(int failed) {
+        mFailed += failed;
+    }
+
+    Action.Drained report(long answered) {
+        mReported = true;
+        return new Action.Drained(answered - mAnsweredBefore, mFailed);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/dispatch/Forwards.java
@@ -0,0 +1,86 @@
+package org.boragegap.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.boragegap.core.job.Submission;
+
+/** Submissions handed to other entry VMs whose answers are awaited. */
+final class Forwards {
+
+    /** One submission on its way. */
+    static final class Forward {
+        private final Submission mSubmission;
+        private final String mAddress;
+        private final int mTry;
+        private final List<CallerRef> mCallers;
+
+        private Forward(Submission submission, String address, int tryNumber, List<CallerRef> who) {
+            mSubmission = submission;
+            mAddress = address;
+            mTry = tryNumber;
+            mCallers = new ArrayList<>(who);
+        }
+
+        Submission submission() {
+            return mSubmission;
+        }
+
+        String address() {
+            return mAddress;
+        }
+
+        int tryNumber() {
+            return mTry;
+        }
+
+        List<CallerRef> callers() {
+            return mCallers;
+        }
+    }
+
+    private final Map<Long, Forward> mById = new HashMap<>();
+    private final Map<String, Long> mBySubmission = new HashMap<>();
+    private long mNextId = 1;
+
+    long add(Submission submission, String address, int tryNumber, List<CallerRef> callers) {
+        long id = mNextId++;
+        mById.put(id, new Forward(submission, address, tryNumber, callers));
+        mBySubmission.put(submission.id().text(), id);
+        return id;
+    }
+
+    Optional<Forward> find(Submission submission) {
+        Long id = mBySubmission.get(submission.id().text());
+        return Optional.ofNullable(id).map(mById::get);
+    }
+
+    /** Ends a forward; an answer that comes for one that is not known is dropped. */
+    Optional<Forward> remove(long id) {
+        Forward forward = mById.remove(id);
+        if (forward != null) {
+            mBySubmission.remove(forward.submission().id().text(), id);
+        }
+        return Optional.ofNullable(forward);
+    }
+
+    int size() {
+        return mById.size();
+    }
+
+    /** Forwards whose deadline has passed. */
+    List<Long> expired(long wallMs) {
+        List<Long> ids = new ArrayList<>();
+        for (Map.Entry<Long, Forward> entry : mById.entrySet()) {
+            if (entry.getValue().submission().deadlineMs() + GRACE_MS <= wallMs) {
+                ids.add(entry.getKey());
+            }
+        }
+        return ids;
+    }
+
+    /** The holder answers at the deadline by itself; this is for a holder that doesn't. */
+    private static final long GRACE_MS = 500;
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/dispatch/Intake.java
@@ -0,0 +1,322 @@
+package org.boragegap.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.boragegap.core.ClockReading;
+import org.boragegap.core.claim.ClaimAction;
+import org.boragegap.core.claim.ClaimKey;
+import org.boragegap.core.claim.ClaimProtocol;
+import org.boragegap.core.claim.ClaimVerdict;
+import org.boragegap.core.job.Answer;
+import org.boragegap.core.job.FailureKind;
+import org.boragegap.core.job.Submission;
+import org.boragegap.core.job.SubmissionId;
+import org.boragegap.core.placement.Ownership;
+
+/** Finds out which VM may start a submission, and hands it over if that is another one. */
+final class Intake {
+    private static final int MOST_HOPS = 2;
+
+    private static final class Waiting {
+        private final Submission mSubmission;
+        private final int mHops;
+        private final List<CallerRef> mCallers = new ArrayList<>();
+
+        private Waiting(Submission submission, int hops) {
+            mSubmission = submission;
+            mHops = hops;
+        }
+    }
+
+    private final String mSelfAddress;
+    private final String mDomain;
+    private final List<String> mDomains;
+    private final ClaimProtocol mClaims;
+    private final List<ClaimAction> mClaimActions;
+    private final JobBoard mJobs;
+    private final EntryVms mEntryVms;
+    private final Replies mReplies;
+    private final Counters mCounters;
+    private final Forwards mForwards = new Forwards();
+    private final Map<ClaimKey, Waiting> mWaiting = new HashMap<>();
+    private boolean mDraining;
+
+    Intake(
+            String selfAddress,
+            DispatchSettings settings,
+            ClaimProtocol claims,
+            List<ClaimAction> claimActions,
+            JobBoard jobs,
+            EntryVms entryVms,
+            Counters counters) {
+        mSelfAddress = selfAddress;
+        mDomain = settings.domain();
+        mDomains = settings.domains();
+        mClaims = claims;
+        mClaimActions = claimActions;
+        mJobs = jobs;
+        mEntryVms = entryVms;
+        mReplies = new Replies(counters);
+        mCounters = counters;
+    }
+
+    /** From now on nothing new is taken in. */
+    void drain() {
+        mDraining = true;
+    }
+
+    boolean idle() {
+        return mForwards.size() == 0 && mWaiting.isEmpty();
+    }
+
+    int forwards() {
+        return mForwards.size();
+    }
+
+    /** Takes a submission, from a caller or from another VM. */
+    void onSubmitted(Event.Submitted event, ClockReading clock, List<Action> out) {
+        mCounters.add(Counters.Name.SUBMISSIONS);
+        Submission submission = event.submission();
+        Optional<Job> known = mJobs.find(submission.id());
+        if (known.isPresent()) {
+            attach(known.get(), event, out);
+            return;
+        }
+        if (event.fresh()) {
+            onFresh(event, clock, out);
+            return;
+        }
+        if (submission.id().minter().isPresent()) {
+            onMinted(event, submission.id().minter().get(), out);
+            return;
+        }
+        Optional<String> home = homeOf(submission.id());
+        if (home.isEmpty()) {
+            Answer answer = Replies.failed(FailureKind.IMPOSSIBLE, "unknown failure domain");
+            mReplies.reply(event.caller(), submission, answer, out);
+        } else if (!home.get().equals(mDomain)) {
+            forwardHome(event, home.get(), clock, out);
+        } else if (mDraining) {
+            leaveToSibling(event, clock, out);
+        } else {
+            claim(event, clock, out);
+        }
+    }
+
+    private void attach(Job job, Event.Submitted event, List<Action> out) {
+        if (job.submission().fingerprint() != event.submission().fingerprint()) {
+            mReplies.reply(event.caller(), event.submission(), Replies.conflict(), out);
+            return;
+        }
+        mJobs.attach(job, event.caller(), out);
+    }
+
+    /** Nobody else can know an id that was minted just now, so it needs no claim. */
+    private void onFresh(Event.Submitted event, ClockReading clock, List<Action> out) {
+        Submission submission = event.submission();
+        if (mDraining) {
+            Answer answer = Replies.notRun(submission, "this VM is draining");
+            mReplies.reply(event.caller(), submission, answer, out);
+            return;
+        }
+        Optional<Answer.Failed> objection = mJobs.objection(submission, clock);
+        if (objection.isPresent()) {
+            mReplies.reply(event.caller(), submission, objection.get(), out);
+            return;
+        }
+        mJobs.add(submission, List.of(event.caller()), out);
+    }
+
+    private void onMinted(Event.Submitted event, String minter, List<Action> out) {
+        Submission submission = event.submission();
+        if (minter.equals(mSelfAddress) || event.hops() >= MOST_HOPS) {
+            String reason = "the VM that holds this id no longer knows it";
+            Answer answer = Replies.failed(FailureKind.MAY_HAVE_RUN, reason);
+            mReplies.reply(event.caller(), submission, answer, out);
+            return;
+        }
+        forward(submission, minter, event.hops(), List.of(event.caller()), out);
+    }
+
+    /**
+     * The home is fixed by the id or by the configured failure domains, never by which ones are
+     * alive, so that no partition between them can start a submission twice.
+     */
+    private Optional<String> homeOf(SubmissionId id) {
+        if (id.domain().isPresent()) {
+            return id.domain().filter(mDomains::contains);
+        }
+        return Ownership.of(id.text(), mDomains);
+    }
+
+    private void forwardHome(
+            Event.Submitted event, String home, ClockReading clock, List<Action> out) {
+        Optional<Forwards.Forward> underWay = mForwards.find(event.submission());
+        boolean same =
+                underWay.isPresent()
+                        && underWay.get().submission().fingerprint()
+                                == event.submission().fingerprint();
+        if (same) {
+            underWay.get().callers().add(event.caller());
+            return;
+        }
+        Optional<String> peer = mEntryVms.pick(home, Set.of(), clock.monotonicMs());
+        if (peer.isEmpty() || event.hops() >= MOST_HOPS) {
+            String reason = "its home failure domain " + home + " can't be reached";
+            Answer answer = Replies.unknown(event.submission(), reason);
+            mReplies.reply(event.caller(), event.submission(), answer, out);
+            return;
+        }
+        forward(event.submission(), peer.get(), event.hops(), List.of(event.caller()), out);
+    }
+
+    private void leaveToSibling(Event.Submitted event, ClockReading clock, List<Action> out) {
+        Set<String> self = Set.of(mSelfAddress);
+        Optional<String> sibling = mEntryVms.pick(mDomain, self, clock.monotonicMs());
+        if (sibling.isEmpty() || event.hops() >= MOST_HOPS) {
+            Answer answer = Replies.unknown(event.submission(), "this VM is draining");
+            mReplies.reply(event.caller(), event.submission(), answer, out);
+            return;
+        }
+        forward(event.submission(), sibling.get(), event.hops(), List.of(event.caller()), out);
+    }
+
+    private void claim(Event.Submitted event, ClockReading clock, List<Action> out) {
+        Submission submission = event.submission();
+        ClaimKey key = submission.id().key();
+        Waiting waiting = mWaiting.get(key);
+        if (waiting == null) {
+            waiting = new Waiting(submission, event.hops());
+            mWaiting.put(key, waiting);
+        } else if (waiting.mSubmission.fingerprint() != submission.fingerprint()) {
+            mReplies.reply(event.caller(), submission, Replies.conflict(), out);
+            return;
+        }
+        waiting.mCallers.add(event.caller());
+        mClaims.want(
+                key, submission.id().createdMs(), submission.fingerprint(), clock, mClaimActions);
+    }
+
+    private void onVerdict(
+            Waiting waiting, ClaimVerdict verdict, ClockReading clock, List<Action> out) {
+        Submission submission = waiting.mSubmission;
+        if (verdict instanceof ClaimVerdict.Granted) {
+            onGranted(waiting, clock, out);
+        } else if (verdict instanceof ClaimVerdict.HeldBy held) {
+            onHeldElsewhere(waiting, held, out);
+        } else if (verdict instanceof ClaimVerdict.Conflict) {
+            mReplies.replyAll(waiting.mCallers, submission, Replies.conflict(), out);
+        } else if (verdict instanceof ClaimVerdict.NotRun refused) {
+            mReplies.replyAll(
+                    waiting.mCallers,
+                    submission,
+                    Replies.notRun(submission, refused.reason()),
+                    out);
+        } else if (verdict instanceof ClaimVerdict.Unknown unknown) {
+            Answer answer = Replies.unknown(submission, unknown.reason());
+            mReplies.replyAll(waiting.mCallers, submission, answer, out);
+        }
+    }
+
+    /**
+     * Refusals come after the claim: only who holds it can say that the id was not run, since a
+     * sibling may have started an earlier submission of it.
+     */
+    private void onGranted(Waiting waiting, ClockReading clock, List<Action> out) {
+        Submission submission = waiting.mSubmission;
+        Optional<Answer.Failed> objection = mJobs.objection(submission, clock);
+        if (objection.isPresent()) {
+            mClaims.release(submission.id().key(), mClaimActions);
+            mReplies.replyAll(waiting.mCallers, submission, objection.get(), out);
+            return;
+        }
+        mJobs.add(submission, waiting.mCallers, out);
+    }
+
+    private void onHeldElsewhere(Waiting waiting, ClaimVerdict.HeldBy held, List<Action> out) {
+        if (!held.reachable() || waiting.mHops >= MOST_HOPS) {
+            String reason = "the VM that held it is gone";
+            Answer answer = Replies.unknown(waiting.mSubmission, reason);
+            mReplies.replyAll(waiting.mCallers, waiting.mSubmission, answer, out);
+            return;
+        }
+        String address = held.holder().address();
+        forward(waiting.mSubmission, address, waiting.mHops, waiting.mCallers, out);
+    }
+
+    private void forward(
+            Submission submission,
+            String address,
+            int hops,
+            List<CallerRef> callers,
+            List<Action> out) {
+        mCounters.add(Counters.Name.FORWARDS);
+        long id = mForwards.add(submission, address, hops + 1, callers);
+        out.add(new Action.Forward(id, address, submission, hops + 1));
+    }
+
+    void onForwardAnswered(Event.ForwardAnswered event, List<Action> out) {
+        Optional<Forwards.Forward> forward = mForwards.remove(event.forwardId());
+        if (forward.isEmpty()) {
+            mCounters.add(Counters.Name.LATE_RESULTS);
+            return;
+        }
+        mReplies.replyAll(forward.get().callers(), forward.get().submission(), event.answer(), out);
+    }
+
+    /** Forwarding again elsewhere is safe: whoever takes it has to claim it. */
+    void onForwardLost(Event.ForwardLost event, ClockReading clock, List<Action> out) {
+        Optional<Forwards.Forward> lost = mForwards.remove(event.forwardId());
+        if (lost.isEmpty()) {
+            return;
+        }
+        Forwards.Forward forward = lost.get();
+        Submission submission = forward.submission();
+        mEntryVms.onUnreachable(forward.address(), clock.monotonicMs());
+        Optional<String> home = homeOf(submission.id());
+        Optional<String> next =
+                home.filter(domain -> submission.id().minter().isEmpty())
+                        .flatMap(
+                                domain ->
+                                        mEntryVms.pick(
+                                                domain,
+                                                Set.of(forward.address(), mSelfAddress),
+                                                clock.monotonicMs()));
+        if (next.isPresent() && forward.tryNumber() < MOST_HOPS) {
+            forward(submission, next.get(), forward.tryNumber(), forward.callers(), out);
+            return;
+        }
+        String reason = "the VM that it was handed to did not answer";
+        mReplies.replyAll(forward.callers(), submission, Replies.unknown(submission, reason), out);
+    }
+
+    /** Other VMs that may hold a submission which is not known here. */
+    Set<String> likelyHolders(SubmissionId id) {
+        if (id.minter().isPresent()) {
+            return Set.of(id.minter().get());
+        }
+        String home = homeOf(id).orElse(mDomain);
+        Set<String> holders = new HashSet<>(mEntryVms.byDomain().getOrDefault(home, List.of()));
+        holders.remove(mSelfAddress);
+        return holders;
+    }
+
+    /** Takes the verdict on a claim that was wanted here. */
+    void onDecided(ClaimAction.Decide decide, ClockReading clock, List<Action> out) {
+        Waiting waiting = mWaiting.remove(decide.key());
+        if (waiting != null) {
+            onVerdict(waiting, decide.verdict(), clock, out);
+        }
+    }
+
+    void onTick(ClockReading clock, List<Action> out) {
+        for (long id : mForwards.expired(clock.wallMs())) {
+            onForwardLost(new Event.ForwardLost(id, true), clock, out);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/dispatch/Job.java
@@ -0,0 +1,136 @@
+package org.boragegap.core.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.boragegap.core.job.Answer;
+import org.boragegap.core.job.Submission;
+import org.boragegap.core.job.TaskSpec;
+
+/** A submission that this VM alone may start, from its claim until its answer is forgotten. */
+final class Job {
+    private final Submission mSubmission;
+    private final double mWorkMs;
+    private final long mSequence;
+    private final Deque<TaskSpec> mQueued = new ArrayDeque<>();
+    private final List<CallerRef> mCallers = new ArrayList<>();
+    private final Set<Long> mAttempts = new HashSet<>();
+    private final Map<Integer, Set<String>> mAvoid = new HashMap<>();
+    private final String[] mResults;
+    private int mMissing;
+    private int mMayHaveRun;
+    private Optional<Answer> mAnswer = Optional.empty();
+
+    Job(Submission submission, double workMs, long sequence) {
+        mSubmission = submission;
+        mWorkMs = workMs;
+        mSequence = sequence;
+        mQueued.addAll(submission.tasks());
+        mResults = new String[submission.tasks().size()];
+        mMissing = mResults.length;
+    }
+
+    Submission submission() {
+        return mSubmission;
+    }
+
+    /** Expected run time of all its tasks, as estimated on arrival. */
+    double workMs() {
+        return mWorkMs;
+    }
+
+    long sequence() {
+        return mSequence;
+    }
+
+    Optional<Answer> answer() {
+        return mAnswer;
+    }
+
+    Optional<TaskSpec> nextTask() {
+        return mAnswer.isPresent() ? Optional.empty() : Optional.ofNullable(mQueued.peek());
+    }
+
+    int queued() {
+        return mAnswer.isPresent() ? 0 : mQueued.size();
+    }
+
+    boolean mayHaveRun() {
+        return mMayHaveRun > 0;
+    }
+
+    List<CallerRef> takeCallers() {
+        List<CallerRef> callers = List.copyOf(mCallers);
+        mCallers.clear();
+        return callers;
+    }
+
+    void addCaller(CallerRef caller) {
+        mCallers.add(caller);
+    }
+
+    Set<Long> attempts() {
+        return mAttempts;
+    }
+
+    /** Targets that have refused the task, and are not asked again. */
+    Set<String> avoided(TaskSpec task) {
+        return mAvoid.getOrDefault(task.index(), Set.of());
+    }
+
+    void avoid(TaskSpec task, String address) {
+        mAvoid.computeIfAbsent(task.index(), index -> new HashSet<>()).add(address);
+    }
+
+    void started(TaskSpec task, long attempt) {
+        mQueued.remove(task);
+        mAttempts.add(attempt);
+        mMayHaveRun++;
+    }
+
+    /** The attempt is over, and surely did nothing. */
+    void notRun(long attempt) {
+        mAttempts.remove(attempt);
+        mMayHaveRun--;
+    }
+
+    void ended(long attempt) {
+        mAttempts.remove(attempt);
+    }
+
+    void requeue(TaskSpec task) {
+        mQueued.addFirst(task);
+    }
+
+    /** Keeps a task's result; a second one for the same task is ignored. */
+    void result(TaskSpec task, String result) {
+        if (mResults[task.index()] == null) {
+            mResults[task.index()] = result;
+            mMissing--;
+        }
+    }
+
+    boolean allResults() {
+        return mMissing == 0;
+    }
+
+    Answer complete() {
+        return new Answer.Complete(List.copyOf(Arrays.asList(mResults)));
+    }
+
+    /** The first answer is the final one. */
+    void answer(Answer answer) {
+        if (mAnswer.isEmpty()) {
+            mAnswer = Optional.of(answer);
+            mQueued.clear();
+            mAvoid.clear();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/dispatch/JobBoard.java
@@ -0,0 +1,466 @@
+package org.boragegap.core.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.boragegap.core.ClockReading;
+import org.boragegap.core.bundle.BundleContent;
+import org.boragegap.core.job.Answer;
+import org.boragegap.core.job.FailureKind;
+import org.boragegap.core.job.Need;
+import org.boragegap.core.job.Outcome;
+import org.boragegap.core.job.Submission;
+import org.boragegap.core.job.SubmissionId;
+import org.boragegap.core.job.TaskSpec;
+import org.boragegap.core.limit.RetryAfter;
+import org.boragegap.core.limit.TeamQuota;
+import org.boragegap.core.placement.KindStatistics;
+import org.boragegap.core.placement.LoanAction;
+import org.boragegap.core.placement.LoanMessage;
+import org.boragegap.core.placement.Placer;
+import org.boragegap.core.placement.Target;
+import org.boragegap.core.placement.TargetPool;
+import org.boragegap.core.retry.RetryBudget;
+
+/** The jobs that this VM alone may start: their queue, attempts, results and answers. */
+final class JobBoard {
+    private static final int LOOK_BEHIND = 4;
+    private static final int MOST_REFUSALS = 5;
+    private static final long LEAST_PATIENCE_MS = 1_000;
+    private static final double PATIENCE_FACTOR = 5;
+
+    private record Attempt(Job job, TaskSpec task, Placer.Place place) {}
+
+    private record Deadline(long wallMs, Job job) {}
+
+    private record Kept(long untilMs, SubmissionId id) {}
+
+    private final DispatchSettings mSettings;
+    private final TargetPool mTargets;
+    private final Supplier<BundleContent> mBundle;
+    private final Supplier<Set<String>> mSiblings;
+    private final Counters mCounters;
+    private final Consumer<SubmissionId> mOnNothingRun;
+    private final KindStatistics mStatistics = new KindStatistics();
+    private final RetryBudget mRetries;
+    private final Placer mPlacer;
+    private final Backlog mBacklog = new Backlog();
+    private final WorkQueue mQueue;
+    private final Map<String, Job> mJobs = new HashMap<>();
+    private final Map<Long, Attempt> mAttempts = new HashMap<>();
+    private final Map<String, Integer> mRunningByTeam = new HashMap<>();
+    private final PriorityQueue<Deadline> mDeadlines =
+            new PriorityQueue<>(Comparator.comparingLong(Deadline::wallMs));
+    private final Deque<Kept> mKept = new ArrayDeque<>();
+    private long mNextAttempt = 1;
+    private long mNextSequence = 1;
+    private int mUnanswered;
+
+    JobBoard(
+            DispatchSettings settings,
+            TargetPool targets,
+            Supplier<BundleContent> bundle,
+            Supplier<Set<String>> siblings,
+            Counters counters,
+            Consumer<SubmissionId> onNothingRun) {
+        mOnNothingRun = onNothingRun;
+        mSettings = settings;
+        mTargets = targets;
+        mBundle = bundle;
+        mSiblings = siblings;
+        mPlacer = Placer.create(targets);
+        mCounters = counters;
+        mRetries = RetryBudget.create(settings.retryShare(), settings.retryCap());
+        mQueue = new WorkQueue(settings.order(), this::urgent);
+    }
+
+    private boolean urgent(Job job) {
+        return mBundle.get().kind(job.submission().kind()).urgent();
+    }
+
+    Optional<Job> find(SubmissionId id) {
+        return Optional.ofNullable(mJobs.get(id.text()));
+    }
+
+    int unanswered() {
+        return mUnanswered;
+    }
+
+    int queuedTasks() {
+        return mBacklog.tasks();
+    }
+
+    int runningAttempts() {
+        return mAttempts.size();
+    }
+
+    int jobsKept() {
+        return mJobs.size();
+    }
+
+    Map<String, Integer> runningByTeam() {
+        return Map.copyOf(mRunningByTeam);
+    }
+
+    /** Why the submission can't be taken now, if it can't; nothing of it was run then. */
+    Optional<Answer.Failed> objection(Submission submission, ClockReading clock) {
+        Optional<Answer.Failed> impossible = impossible(submission);
+        if (impossible.isPresent()) {
+            return impossible;
+        }
+        long spread = submission.id().key().low();
+        double waitMs = expectedWaitMs(serviceOf(submission));
+        if (mBacklog.tasks() + submission.tasks().size() > mSettings.maxQueuedTasks()) {
+            return Optional.of(notRun("the queue is full", RetryAfter.afterMs(waitMs, spread)));
+        }
+        if (!mTargets.knows(serviceOf(submission))) {
+            return Optional.of(
+                    notRun("no target is known for it", RetryAfter.afterMs(waitMs, spread)));
+        }
+        double finishMs = clock.wallMs() + waitMs + longestTaskMs(submission);
+        if (mSettings.refuseHopeless() && finishMs > submission.deadlineMs()) {
+            return Optional.of(
+                    notRun("the deadline can't be met", RetryAfter.afterMs(waitMs, spread)));
+        }
+        return Optional.empty();
+    }
+
+    private Optional<Answer.Failed> impossible(Submission submission) {
+        if (mBundle.get().team(submission.team()).maxRunning() == 0) {
+            return Optional.of(impossible("the team's quota is zero"));
+        }
+        String service = serviceOf(submission);
+        for (TaskSpec task : submission.tasks()) {
+            if (mTargets.knows(service) && !mTargets.everFits(service, task.need())) {
+                return Optional.of(
+                        impossible("task " + task.index() + " needs more than any worker has"));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static Answer.Failed impossible(String reason) {
+        return new Answer.Failed(FailureKind.IMPOSSIBLE, reason, 0);
+    }
+
+    private static Answer.Failed notRun(String reason, long retryAfterMs) {
+        return new Answer.Failed(FailureKind.NOT_RUN, reason, retryAfterMs);
+    }
+
+    /** Run time of what is queued, spread over the slots there are. */
+    private double expectedWaitMs(String service) {
+        double slots = (double) mTargets.slots(service) / (1 + mSiblings.get().size());
+        return mBacklog.workMs(service) / Math.max(1, slots);
+    }
+
+    private double longestTaskMs(Submission submission) {
+        double longest = 0;
+        for (TaskSpec task : submission.tasks()) {
+            longest = Math.max(longest, mStatistics.expectedMs(submission.kind(), task));
+        }
+        return longest;
+    }
+
+    private static String serviceOf(Submission submission) {
+        return submission.service().orElse(Target.WORKERS);
+    }
+
+    /** Takes a submission whose claim this VM holds. */
+    void add(Submission submission, List<CallerRef> callers, List<Action> out) {
+        double workMs = 0;
+        for (TaskSpec task : submission.tasks()) {
+            workMs += mStatistics.expectedMs(submission.kind(), task);
+        }
+        Job job = new Job(submission, workMs, mNextSequence++);
+        mJobs.put(submission.id().text(), job);
+        mUnanswered++;
+        mBacklog.add(serviceOf(submission), job.queued(), workMs);
+        mDeadlines.add(new Deadline(submission.deadlineMs(), job));
+        mQueue.add(job);
+        for (CallerRef caller : callers) {
+            out.add(new Action.Accept(caller, submission.id()));
+            job.addCaller(caller);
+        }
+    }
+
+    /** Adds a caller to a job that is known here. */
+    void attach(Job job, CallerRef caller, List<Action> out) {
+        out.add(new Action.Accept(caller, job.submission().id()));
+        if (job.answer().isPresent()) {
+            out.add(new Action.Reply(caller, job.submission().id(), job.answer().get()));
+        } else {
+            job.addCaller(caller);
+        }
+    }
+
+    /** Starts what finds room. */
+    void pump(ClockReading clock, List<Action> out) {
+        mPlacer.beginRound();
+        boolean started = true;
+        while (started && mBacklog.tasks() > 0) {
+            started = false;
+            for (Job head : mQueue.heads()) {
+                if (startOne(head, clock, out)) {
+                    started = true;
+                    break;
+                }
+            }
+        }
+        List<LoanAction> loans = new ArrayList<>();
+        mPlacer.endRound(mSiblings.get(), mBacklog.tasksByService(), clock.monotonicMs(), loans);
+        tell(loans, out);
+    }
+
+    private void tell(List<LoanAction> loans, List<Action> out) {
+        for (LoanAction loan : loans) {
+            mCounters.add(Counters.Name.LOAN_MESSAGES);
+            out.add(new Action.TellLoan(loan.address(), loan.message()));
+        }
+    }
+
+    /** Takes what a sibling says about room on targets. */
+    void onLoanMessage(String from, LoanMessage message, ClockReading clock, List<Action> out) {
+        List<LoanAction> loans = new ArrayList<>();
+        mPlacer.onMessage(from, message, clock.monotonicMs(), loans);
+        tell(loans, out);
+    }
+
+    /** A big task that finds no room doesn't hold up the smaller ones behind it. */
+    private boolean startOne(Job head, ClockReading clock, List<Action> out) {
+        if (!withinQuota(head)) {
+            return false;
+        }
+        if (start(head, clock, out)) {
+            return true;
+        }
+        for (Job next : mQueue.behind(head, LOOK_BEHIND)) {
+            if (start(next, clock, out)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean withinQuota(Job job) {
+        String team = job.submission().team();
+        TeamQuota quota = mBundle.get().team(team);
+        int share = quota.shareOf(1 + mSiblings.get().size());
+        return mRunningByTeam.getOrDefault(team, 0) < share;
+    }
+
+    private boolean start(Job job, ClockReading clock, List<Action> out) {
+        Optional<TaskSpec> next = job.nextTask();
+        if (next.isEmpty()) {
+            return false;
+        }
+        TaskSpec task = next.get();
+        Submission submission = job.submission();
+        Need need = mStatistics.need(submission.kind(), task);
+        Optional<Placer.Place> place =
+                mPlacer.place(serviceOf(submission), need, job.avoided(task), clock.monotonicMs());
+        if (place.isEmpty()) {
+            return false;
+        }
+        launch(job, task, place.get(), clock, out);
+        return true;
+    }
+
+    private void launch(
+            Job job, TaskSpec task, Placer.Place place, ClockReading clock, List<Action> out) {
+        long id = mNextAttempt++;
+        Submission submission = job.submission();
+        double workMs = mStatistics.expectedMs(submission.kind(), task);
+        mBacklog.remove(serviceOf(submission), 1, workMs);
+        job.started(task, id);
+        mAttempts.put(id, new Attempt(job, task, place));
+        mRunningByTeam.merge(submission.team(), 1, Integer::sum);
+        mQueue.served(job, workMs, mBundle.get().team(submission.team()).weight());
+        mRetries.onFirstTry();
+        mCounters.add(Counters.Name.STARTS);
+        long startByMs = clock.monotonicMs() + mSettings.startGraceMs();
+        long timeoutMs = timeoutMs(submission, workMs, clock);
+        out.add(
+                new Action.Start(
+                        id, place.target().target(), submission, task, startByMs, timeoutMs));
+    }
+
+    /**
+     * How long a result is waited for: up to the deadline, but less for a request that may be sent
+     * again, so that a connection gone silent costs it one short wait.
+     */
+    private static long timeoutMs(Submission submission, double workMs, ClockReading clock) {
+        long leftMs = Math.max(1, submission.deadlineMs() - clock.wallMs());
+        if (submission.service().isEmpty() || !submission.idempotent()) {
+            return leftMs;
+        }
+        long patienceMs = Math.max(LEAST_PATIENCE_MS, (long) (PATIENCE_FACTOR * workMs));
+        return Math.min(leftMs, patienceMs);
+    }
+
+    /** Takes the end of an attempt; what comes for an attempt that is not known is dropped. */
+    void onAttemptEnded(long id, Outcome outcome, ClockReading clock, List<Action> out) {
+        Attempt attempt = mAttempts.remove(id);
+        if (attempt == null) {
+            mCounters.add(Counters.Name.LATE_RESULTS);
+            return;
+        }
+        Job job = attempt.job();
+        mPlacer.onEnded(attempt.place(), outcome, clock.monotonicMs());
+        mRunningByTeam.merge(job.submission().team(), -1, Integer::sum);
+        if (outcome instanceof Outcome.NotRun) {
+            job.notRun(id);
+        } else {
+            job.ended(id);
+        }
+        if (outcome instanceof Outcome.Succeeded done) {
+            onSucceeded(job, attempt.task(), done, clock, out);
+        } else if (outcome instanceof Outcome.Failed failed) {
+            finish(job, failed(FailureKind.FAILED, attempt, failed.reason()), clock, out);
+        } else if (outcome instanceof Outcome.NotRun refused) {
+            onRefused(attempt, refused, clock, out);
+        } else if (outcome instanceof Outcome.Lost lost) {
+            onLost(attempt, lost, clock, out);
+        }
+    }
+
+    private static Answer failed(FailureKind kind, Attempt attempt, String reason) {
+        return new Answer.Failed(kind, "task " + attempt.task().index() + ": " + reason, 0);
+    }
+
+    private void onSucceeded(
+            Job job, TaskSpec task, Outcome.Succeeded done, ClockReading clock, List<Action> out) {
+        mStatistics.add(job.submission().kind(), done.tookMs(), done.used());
+        job.result(task, done.result());
+        if (job.allResults()) {
+            finish(job, job.complete(), clock, out);
+        }
+    }
+
+    /** Nothing was run, so the task may go elsewhere whatever it is. */
+    private void onRefused(
+            Attempt attempt, Outcome.NotRun refused, ClockReading clock, List<Action> out) {
+        mCounters.add(Counters.Name.REFUSED_STARTS);
+        Job job = attempt.job();
+        if (job.answer().isPresent()) {
+            return;
+        }
+        job.avoid(attempt.task(), attempt.place().target().target().address());
+        if (job.avoided(attempt.task()).size() >= MOST_REFUSALS) {
+            String reason = "refused by " + MOST_REFUSALS + " targets, last: " + refused.reason();
+            finish(job, givenUp(job, reason), clock, out);
+            return;
+        }
+        requeue(job, attempt.task());
+    }
+
+    private void requeue(Job job, TaskSpec task) {
+        job.requeue(task);
+        double workMs = mStatistics.expectedMs(job.submission().kind(), task);
+        mBacklog.add(serviceOf(job.submission()), 1, workMs);
+        mQueue.requeued(job);
+    }
+
+    /** Only an idempotent request to a minion is sent again after it may have run. */
+    private void onLost(Attempt attempt, Outcome.Lost lost, ClockReading clock, List<Action> out) {
+        mCounters.add(Counters.Name.LOST_STARTS);
+        Job job = attempt.job();
+        Submission submission = job.submission();
+        boolean repeatable = submission.service().isPresent() && submission.idempotent();
+        if (repeatable && job.answer().isEmpty() && mRetries.trySpend()) {
+            mCounters.add(Counters.Name.RETRIES);
+            job.avoid(attempt.task(), attempt.place().target().target().address());
+            requeue(job, attempt.task());
+            return;
+        }
+        finish(job, failed(FailureKind.MAY_HAVE_RUN, attempt, lost.reason()), clock, out);
+    }
+
+    private Answer givenUp(Job job, String reason) {
+        long spread = job.submission().id().key().low();
+        double waitMs = expectedWaitMs(serviceOf(job.submission()));
+        FailureKind kind = job.mayHaveRun() ? FailureKind.MAY_HAVE_RUN : FailureKind.NOT_RUN;
+        return new Answer.Failed(kind, reason, RetryAfter.afterMs(waitMs, spread));
+    }
+
+    private void finish(Job job, Answer answer, ClockReading clock, List<Action> out) {
+        if (job.answer().isPresent()) {
+            return;
+        }
+        SubmissionId id = job.submission().id();
+        int left = job.queued();
+        double leftMs = job.workMs() * left / job.submission().tasks().size();
+        mBacklog.remove(serviceOf(job.submission()), left, leftMs);
+        job.answer(answer);
+        mUnanswered--;
+        for (long attempt : job.attempts()) {
+            out.add(new Action.Stop(attempt, mAttempts.get(attempt).place().target().target()));
+        }
+        for (CallerRef caller : job.takeCallers()) {
+            out.add(new Action.Reply(caller, id, answer));
+        }
+        mCounters.add(counterOf(answer));
+        if (answer instanceof Answer.Failed failed && failed.kind() == FailureKind.NOT_RUN) {
+            // Nothing ran, so a resubmission is free to run, here or elsewhere.
+            mJobs.remove(id.text());
+            mOnNothingRun.accept(id);
+            return;
+        }
+        mKept.add(new Kept(clock.monotonicMs() + mSettings.answerKeepMs(), id));
+    }
+
+    static Counters.Name counterOf(Answer answer) {
+        if (!(answer instanceof Answer.Failed failed)) {
+            return Counters.Name.COMPLETE;
+        }
+        if (failed.kind().nothingRan()) {
+            return Counters.Name.NOT_RUN;
+        }
+        return failed.kind() == FailureKind.MAY_HAVE_RUN
+                ? Counters.Name.MAY_HAVE_RUN
+                : Counters.Name.FAILED;
+    }
+
+    /** Cancels a job; doing so again changes nothing. */
+    void cancel(Job job, ClockReading clock, List<Action> out) {
+        FailureKind kind = job.mayHaveRun() ? FailureKind.CANCELLED : FailureKind.NOT_RUN;
+        finish(job, new Answer.Failed(kind, "cancelled by the caller", 0), clock, out);
+    }
+
+    void onTick(ClockReading clock, List<Action> out) {
+        mPlacer.onTick(mSiblings.get(), clock.monotonicMs());
+        while (!mDeadlines.isEmpty() && mDeadlines.peek().wallMs() <= clock.wallMs()) {
+            Job job = mDeadlines.poll().job();
+            finish(job, givenUp(job, "the deadline has passed"), clock, out);
+        }
+        while (!mKept.isEmpty() && mKept.peek().untilMs() <= clock.monotonicMs()) {
+            forget(mKept.poll());
+        }
+    }
+
+    private void forget(Kept kept) {
+        mJobs.remove(kept.id().text());
+    }
+
+    /** Fails all that is not answered yet; for the bound of a drain. */
+    int failAll(String reason, ClockReading clock, List<Action> out) {
+        List<Job> left = new ArrayList<>();
+        for (Job job : mJobs.values()) {
+            if (job.answer().isEmpty()) {
+                left.add(job);
+            }
+        }
+        for (Job job : left) {
+            finish(job, givenUp(job, reason), clock, out);
+        }
+        return left.size();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/dispatch/Replies.java
@@ -0,0 +1,49 @@
+package org.boragegap.core.dispatch;
+
+import java.util.List;
+import org.boragegap.core.job.Answer;
+import org.boragegap.core.job.FailureKind;
+import org.boragegap.core.job.Submission;
+import org.boragegap.core.limit.RetryAfter;
+
+/** Makes and counts the answers to submissions that no job here stands for. */
+final class Replies {
+    private final Counters mCounters;
+
+    Replies(Counters counters) {
+        mCounters = counters;
+    }
+
+    void reply(CallerRef caller, Submission submission, Answer answer, List<Action> out) {
+        mCounters.add(JobBoard.counterOf(answer));
+        out.add(new Action.Reply(caller, submission.id(), answer));
+    }
+
+    void replyAll(List<CallerRef> callers, Submission submission, Answer answer, List<Action> out) {
+        for (CallerRef caller : callers) {
+            reply(caller, submission, answer, out);
+        }
+    }
+
+    static Answer failed(FailureKind kind, String reason) {
+        return new Answer.Failed(kind, reason, 0);
+    }
+
+    static Answer conflict() {
+        return failed(FailureKind.CONFLICT, "the id was used with another body");
+    }
+
+    /** Nothing is known to have run, and nothing can be ruled out. */
+    static Answer unknown(Submission submission, String reason) {
+        return soon(FailureKind.MAY_HAVE_RUN, submission, reason);
+    }
+
+    static Answer notRun(Submission submission, String reason) {
+        return soon(FailureKind.NOT_RUN, submission, reason);
+    }
+
+    private static Answer soon(FailureKind kind, Submission submission, String reason) {
+        long spread = submission.id().key().low();
+        return new Answer.Failed(kind, reason, RetryAfter.afterMs(0, spread));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/job/SubmissionId.java
@@ -0,0 +1,102 @@
+package org.boragegap.core.job;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.UUID;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.boragegap.core.claim.ClaimKey;
+
+/**
+ * Names a submission, and says when and where it was made.
+ *
+ * <p>Forms: a version 7 UUID; {@code domain~uuid}, which names its home failure domain; {@code
+ * domain~host:port~uuid}, minted by the entry VM that alone may start it; any other text together
+ * with its creation time.
+ *
+ * @param text the id as given
+ * @param createdMs creation time, milliseconds since the Unix epoch
+ * @param domain home failure domain, when the id names it
+ * @param minter peer address of the entry VM that minted the id, if one did
+ */
+public record SubmissionId(
+        String text, long createdMs, Optional<String> domain, Optional<String> minter) {
+
+    private static final Pattern ALLOWED = Pattern.compile("[A-Za-z0-9._:~-]{1,128}");
+    private static final Pattern STRUCTURED =
+            Pattern.compile("(?:([a-z0-9-]{1,32})~)?(?:([a-z0-9.:-]{1,64})~)?([0-9a-f-]{36})");
+    private static final int TIME_ORDERED = 7;
+    private static final int TIME_SHIFT = 16;
+
+    /** What became of reading an id. */
+    public sealed interface Parsed {
+
+        /**
+         * A usable id.
+         *
+         * @param id the id
+         */
+        record Valid(SubmissionId id) implements Parsed {}
+
+        /**
+         * Not an id.
+         *
+         * @param reason one line for the caller
+         */
+        record Invalid(String reason) implements Parsed {}
+    }
+
+    /** Reads an id; {@code created} is needed when the text carries no time of its own. */
+    public static Parsed parse(String text, OptionalLong created) {
+        if (!ALLOWED.matcher(text).matches()) {
+            return new Parsed.Invalid("id must be 1 to 128 characters of A-Z a-z 0-9 . _ : ~ -");
+        }
+        Matcher matcher = STRUCTURED.matcher(text);
+        if (matcher.matches()) {
+            Optional<SubmissionId> id = structured(text, matcher);
+            if (id.isPresent()) {
+                return new Parsed.Valid(id.get());
+            }
+        }
+        if (text.indexOf('~') >= 0) {
+            return new Parsed.Invalid("id with ~ must be domain~uuid, uuid of version 7");
+        }
+        if (created.isEmpty()) {
+            return new Parsed.Invalid(
+                    "id must be a UUID of version 7, or come with its created time");
+        }
+        return new Parsed.Valid(
+                new SubmissionId(text, created.getAsLong(), Optional.empty(), Optional.empty()));
+    }
+
+    private static Optional<SubmissionId> structured(String text, Matcher matcher) {
+        UUID uuid;
+        try {
+            uuid = UUID.fromString(matcher.group(3));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+        if (uuid.version() != TIME_ORDERED) {
+            return Optional.empty();
+        }
+        long createdMs = uuid.getMostSignificantBits() >>> TIME_SHIFT;
+        return Optional.of(
+                new SubmissionId(
+                        text,
+                        createdMs,
+                        Optional.ofNullable(matcher.group(1)),
+                        Optional.ofNullable(matcher.group(2))));
+    }
+
+    /** An id that only the entry VM at {@code minter} may start. */
+    public static SubmissionId mint(String domain, String minter, UUID uuid) {
+        String text = domain + '~' + minter + '~' + uuid;
+        long createdMs = uuid.getMostSignificantBits() >>> TIME_SHIFT;
+        return new SubmissionId(text, createdMs, Optional.of(domain), Optional.of(minter));
+    }
+
+    /** Key of the claim on this id. */
+    public ClaimKey key() {
+        return ClaimKey.of(text, createdMs);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/job/TaskSpec.java
@@ -0,0 +1,11 @@
+package org.boragegap.core.job;
+
+/**
+ * One task of a submission as the caller declared it.
+ *
+ * @param index position in the submission, from 0
+ * @param need declared need
+ * @param expectedMs declared run time in milliseconds
+ * @param payload handed to the target as it is
+ */
+public record TaskSpec(int index, Need need, long expectedMs, String payload) {}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/job/package-info.java
@@ -0,0 +1,2 @@
+/** Submissions, their tasks, outcomes and answers. */
+package org.boragegap.core.job;
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Bounded queues, quotas and refusals. */
+package org.boragegap.core.limit;
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/membership/ListedVm.java
@@ -0,0 +1,30 @@
+package org.boragegap.core.membership;
+
+import org.boragegap.core.job.Need;
+import org.boragegap.core.placement.Target;
+
+/**
+ * A VM as the platform's list shows it.
+ *
+ * @param address {@code host:port}: the peer address of an entry VM, the HTTP address of a target
+ * @param domain its failure domain
+ * @param kind what runs there
+ * @param service service of a minion, empty otherwise
+ * @param leaving whether it is going away
+ * @param capacity what a worker has
+ * @param slots how many tasks a target runs at once
+ */
+public record ListedVm(
+        String address,
+        String domain,
+        VmKind kind,
+        String service,
+        boolean leaving,
+        Need capacity,
+        int slots) {
+
+    /** This VM as a target; only for kinds that are targets. */
+    public Target target() {
+        return new Target(address, kind.role().orElseThrow(), service, capacity, slots);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** What is believed about VMs, workers and minions. */
+package org.boragegap.core.membership;
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/package-info.java
@@ -0,0 +1,2 @@
+/** The pure core: typed events and a clock value in, typed actions out. */
+package org.boragegap.core;
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/placement/LoanMessage.java
@@ -0,0 +1,45 @@
+package org.boragegap.core.placement;
+
+import java.util.List;
+import org.boragegap.core.job.Need;
+
+/** What entry VMs of one failure domain say to each other about room on targets. */
+public sealed interface LoanMessage {
+
+    /**
+     * Asks the owner of targets for room.
+     *
+     * @param service service of the targets
+     * @param need what one task needs
+     * @param count for how many tasks at once
+     */
+    record Ask(String service, Need need, int count) implements LoanMessage {}
+
+    /**
+     * Gives room, or none.
+     *
+     * @param service service that was asked for
+     * @param lines what is given; empty for nothing
+     */
+    record Given(String service, List<Line> lines) implements LoanMessage {}
+
+    /**
+     * Room on one target.
+     *
+     * @param loanId names the loan within the owner
+     * @param target address of the target
+     * @param need room for one task
+     * @param count for how many tasks at once
+     * @param termMs how long after the ask new tasks may be started there
+     */
+    record Line(long loanId, String target, Need need, int count, long termMs) {}
+
+    /**
+     * Gives room back.
+     *
+     * @param loanId the loan
+     * @param count for how many tasks
+     * @param blamed how many tasks of it the target failed
+     */
+    record Back(long loanId, int count, int blamed) implements LoanMessage {}
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/placement/Target.java
@@ -0,0 +1,18 @@
+package org.boragegap.core.placement;
+
+import org.boragegap.core.job.Need;
+
+/**
+ * A worker or a minion.
+ *
+ * @param address {@code host:port} of its HTTP listener
+ * @param role what it is
+ * @param service service of a minion, empty for a worker
+ * @param capacity what a worker has; {@link Need#NONE} for a minion
+ * @param slots how many tasks it runs at once
+ */
+public record Target(String address, Role role, String service, Need capacity, int slots) {
+
+    /** Service name under which all workers are found. */
+    public static final String WORKERS = "";
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/placement/TargetPool.java
@@ -0,0 +1,174 @@
+package org.boragegap.core.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+import org.boragegap.core.job.Need;
+import org.boragegap.core.job.Outcome;
+import org.boragegap.core.job.RefusalCause;
+
+/**
+ * The targets of this failure domain and the choice among them.
+ *
+ * <p>Each target belongs to one entry VM at a time, so that one VM alone accounts for its room and
+ * no message a task is needed to agree on it.
+ */
+public final class TargetPool {
+    private final PlacementPolicy mPolicy;
+    private final RandomGenerator mRandom;
+    private final Map<String, TargetState> mTargets = new LinkedHashMap<>();
+    private final Map<String, List<TargetState>> mByService = new HashMap<>();
+    private Predicate<Target> mOwned = target -> true;
+    private long mTurn;
+
+    private TargetPool(PlacementPolicy policy, RandomGenerator random) {
+        mPolicy = policy;
+        mRandom = random;
+    }
+
+    /** Makes an empty pool. */
+    public static TargetPool create(PlacementPolicy policy, RandomGenerator random) {
+        return new TargetPool(policy, random);
+    }
+
+    /** Limits placement to the targets that this VM owns. */
+    public void own(Predicate<Target> owned) {
+        mOwned = owned;
+    }
+
+    /**
+     * Takes the platform's list, which lags.
+     *
+     * <p>A target that is no longer listed gets nothing new; it stays known while attempts run.
+     */
+    public void onListed(List<Target> listed, Set<String> leaving) {
+        Map<String, TargetState> before = new HashMap<>(mTargets);
+        mTargets.values().removeIf(state -> state.running() == 0);
+        mTargets.values().forEach(TargetState::markLeaving);
+        for (Target target : listed) {
+            TargetState known = before.get(target.address());
+            boolean same = known != null && known.target().equals(target);
+            TargetState state = same ? known : new TargetState(target);
+            if (same) {
+                state.relist();
+            }
+            if (leaving.contains(target.address())) {
+                state.markLeaving();
+            }
+            mTargets.put(target.address(), state);
+        }
+        index();
+    }
+
+    private void index() {
+        mByService.clear();
+        for (TargetState state : mTargets.values()) {
+            mByService
+                    .computeIfAbsent(state.target().service(), service -> new ArrayList<>())
+                    .add(state);
+        }
+    }
+
+    /** The target for a task, if one has room for it. */
+    public Optional<TargetState> place(String service, Need need, Set<String> avoid, long nowMs) {
+        List<TargetState> candidates = new ArrayList<>();
+        for (TargetState state : mByService.getOrDefault(service, List.of())) {
+            boolean wanted = !avoid.contains(state.target().address());
+            if (wanted && state.accepts(need, nowMs) && mOwned.test(state.target())) {
+                candidates.add(state);
+            }
+        }
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(mPolicy.choose(candidates, mTurn++, mRandom));
+    }
+
+    /** Accounts for an attempt. */
+    public void onStarted(TargetState state, Need need) {
+        state.started(need);
+    }
+
+    /** Takes the end of an attempt. */
+    public void onEnded(TargetState state, Need need, Outcome outcome, long nowMs) {
+        state.ended(need, blames(outcome), nowMs);
+    }
+
+    /** A target that refuses since it is going away gets nothing more. */
+    void noteLeaving(TargetState state, Outcome outcome) {
+        boolean leaving =
+                outcome instanceof Outcome.NotRun refused
+                        && refused.cause() == RefusalCause.LEAVING;
+        if (leaving) {
+            state.markLeavingForGood();
+        }
+    }
+
+    /** Ends a loan of room for one task. */
+    void onLoanEnded(TargetState state, Need need, boolean blamed, long nowMs) {
+        if (blamed) {
+            state.ended(need, true, nowMs);
+        } else {
+            state.freed(need);
+        }
+    }
+
+    /** A target by its address. */
+    public Optional<TargetState> find(String address) {
+        return Optional.ofNullable(mTargets.get(address));
+    }
+
+    /** True when the outcome speaks against the target. */
+    public static boolean blames(Outcome outcome) {
+        if (outcome instanceof Outcome.NotRun refused) {
+            return refused.cause().targetAtFault();
+        }
+        return !(outcome instanceof Outcome.Succeeded);
+    }
+
+    /** Takes a target's own report of its load, which lags. */
+    public void onLoad(String address, double load) {
+        TargetState state = mTargets.get(address);
+        if (state != null) {
+            state.reportLoad(load);
+        }
+    }
+
+    /** True when some target of the service, busy or not, could ever take the need. */
+    public boolean everFits(String service, Need need) {
+        for (TargetState state : mByService.getOrDefault(service, List.of())) {
+            boolean worker = state.target().role() == Role.WORKER;
+            if (!worker || need.fits(state.target().capacity())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** True when any target of the service is known. */
+    public boolean knows(String service) {
+        return mByService.containsKey(service);
+    }
+
+    /** How many tasks the targets of a service run at once, owned or not. */
+    public int slots(String service) {
+        int slots = 0;
+        for (TargetState state : mByService.getOrDefault(service, List.of())) {
+            if (!state.leaving() && !state.quarantined()) {
+                slots += state.target().slots();
+            }
+        }
+        return slots;
+    }
+
+    /** All targets with what is believed of them. */
+    public List<TargetState> all() {
+        return List.copyOf(mTargets.values());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/placement/TargetState.java
@@ -0,0 +1,122 @@
+package org.boragegap.core.placement;
+
+import org.boragegap.core.job.Need;
+
+/**
+ * What this entry VM believes of one target.
+ *
+ * <p>A target that fails everything at once looks idle and would draw all work, so it is judged by
+ * outcome: after a few failures in a row it gets nothing until a growing pause is over, then one
+ * probe.
+ */
+public final class TargetState {
+    private static final int FAILURES_TO_QUARANTINE = 3;
+    private static final long FIRST_PAUSE_MS = 500;
+    private static final long LONGEST_PAUSE_MS = 30_000;
+    private static final int GROWTH_LIMIT = 6;
+
+    private final Target mTarget;
+    private Need mUsed = Need.NONE;
+    private int mRunning;
+    private int mFailuresInRow;
+    private int mQuarantines;
+    private long mQuarantinedUntilMs = Long.MIN_VALUE;
+    private boolean mProbing;
+    private boolean mListedLeaving;
+    private boolean mSaidLeaving;
+    private double mReportedLoad;
+
+    TargetState(Target target) {
+        mTarget = target;
+    }
+
+    /** The target. */
+    public Target target() {
+        return mTarget;
+    }
+
+    /** How many tasks this entry VM has running there. */
+    public int running() {
+        return mRunning;
+    }
+
+    /** True when the platform or the target itself said that it is going away. */
+    public boolean leaving() {
+        return mListedLeaving || mSaidLeaving;
+    }
+
+    /** True while the target gets nothing, or only a probe, because of what it did. */
+    public boolean quarantined() {
+        return mFailuresInRow >= FAILURES_TO_QUARANTINE;
+    }
+
+    void markLeaving() {
+        mListedLeaving = true;
+    }
+
+    /** The target said so itself, which goes before a list that lags. */
+    void markLeavingForGood() {
+        mSaidLeaving = true;
+    }
+
+    /** The list shows the target again after a while without it. */
+    void relist() {
+        mListedLeaving = false;
+    }
+
+    void reportLoad(double load) {
+        mReportedLoad = load;
+    }
+
+    /** Share of the target in use, the larger of what was accounted and what was reported. */
+    double load() {
+        double bySlots = (double) mRunning / Math.max(1, mTarget.slots());
+        double byCpu = (double) mUsed.cpuMillis() / Math.max(1, mTarget.capacity().cpuMillis());
+        double accounted = mTarget.role() == Role.WORKER ? byCpu : bySlots;
+        return Math.max(accounted, mReportedLoad);
+    }
+
+    boolean accepts(Need need, long nowMs) {
+        if (leaving() || mRunning >= mTarget.slots()) {
+            return false;
+        }
+        if (quarantined() && (mProbing || nowMs < mQuarantinedUntilMs)) {
+            return false;
+        }
+        return mTarget.role() == Role.MINION || need.fits(mTarget.capacity().minus(mUsed));
+    }
+
+    void started(Need need) {
+        mRunning++;
+        mUsed = mUsed.plus(need);
+        mProbing = quarantined();
+    }
+
+    /** Room is free again, and nothing is learned about the target. */
+    void freed(Need need) {
+        mRunning--;
+        mUsed = mUsed.minus(need);
+    }
+
+    void ended(Need need, boolean blame, long nowMs) {
+        mRunning--;
+        mUsed = mUsed.minus(need);
+        mProbing = false;
+        if (blame) {
+            mFailuresInRow++;
+            quarantine(nowMs);
+        } else {
+            mFailuresInRow = 0;
+            mQuarantines = 0;
+        }
+    }
+
+    private void quarantine(long nowMs) {
+        if (!quarantined()) {
+            return;
+        }
+        long pauseMs = FIRST_PAUSE_MS << Math.min(mQuarantines, GROWTH_LIMIT);
+        mQuarantinedUntilMs = nowMs + Math.min(pauseMs, LONGEST_PAUSE_MS);
+        mQuarantines++;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Which target a task goes to. */
+package org.boragegap.core.placement;
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** When a request may be sent again. */
+package org.boragegap.core.retry;
--- /dev/null
+++ b/entry/src/main/java/org/boragegap/entry/ActionRunner.java
@@ -0,0 +1,132 @@
+package org.boragegap.entry;
+
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.boragegap.core.bundle.BundleRecord;
+import org.boragegap.core.claim.Member;
+import org.boragegap.core.dispatch.Action;
+import org.boragegap.core.dispatch.CallerRef;
+import org.boragegap.core.dispatch.Event;
+import org.boragegap.core.job.Submission;
+import org.boragegap.http.HttpCaller;
+import org.boragegap.platform.LogClient;
+import org.boragegap.platform.LogEntry;
+import org.boragegap.platform.TargetClient;
+import org.boragegap.platform.TaskOrder;
+import org.boragegap.wire.PeerMessage;
+import org.boragegap.wire.PeerTransport;
+
+/** Carries out what the dispatcher decides; network traffic goes to other threads. */
+final class ActionRunner {
+    /** The target's clock may be apart from this one; only a longer pause is to be caught. */
+    private static final long CLOCK_MARGIN_MS = 2_000;
+
+    private final Member mSelf;
+    private final TargetClient mTargets;
+    private final LogClient mLog;
+    private final PeerTransport mPeers;
+    private final Executor mTraffic;
+    private CallerApi mCallers;
+    private LogFollower mFollower;
+    private Consumer<Event> mEvents;
+    private Consumer<Action.Drained> mDrained;
+
+    ActionRunner(
+            Member self,
+            TargetClient targets,
+            LogClient log,
+            PeerTransport peers,
+            Executor traffic) {
+        mSelf = self;
+        mTargets = targets;
+        mLog = log;
+        mPeers = peers;
+        mTraffic = traffic;
+    }
+
+    void connect(
+            CallerApi callers,
+            LogFollower follower,
+            Consumer<Event> events,
+            Consumer<Action.Drained> drained) {
+        mCallers = callers;
+        mFollower = follower;
+        mEvents = events;
+        mDrained = drained;
+    }
+
+    void run(Action action) {
+        if (action instanceof Action.Start start) {
+            mTraffic.execute(() -> start(start));
+        } else if (action instanceof Action.Reply reply) {
+            mTraffic.execute(() -> reply(reply));
+        } else if (action instanceof Action.Accept accept) {
+            if (accept.caller() instanceof CallerRef.HttpCaller caller) {
+                mTraffic.execute(() -> mCallers.accepted(caller.token(), accept.id()));
+            }
+        } else if (action instanceof Action.Stop stop) {
+            mTraffic.execute(() -> mTargets.stop(stop.target().address(), owner(), stop.attempt()));
+        } else if (action instanceof Action.Tell tell) {
+            mPeers.send(tell.address(), new PeerMessage.Claims(mSelf, tell.message()));
+        } else if (action instanceof Action.TellLoan tell) {
+            mPeers.send(tell.address(), new PeerMessage.Loans(mSelf.address(), tell.message()));
+        } else if (action instanceof Action.Forward forward) {
+            mPeers.send(
+                    forward.address(),
+                    new PeerMessage.Forward(
+                            forward.forwardId(), forward.submission(), forward.hops()));
+        } else if (action instanceof Action.ForwardCancel cancel) {
+            mPeers.send(cancel.address(), new PeerMessage.Cancel(cancel.id(), cancel.hops()));
+        } else if (action instanceof Action.PassBundle pass) {
+            mPeers.send(pass.address(), new PeerMessage.BundleIs(pass.bundle()));
+        } else if (action instanceof Action.AppendView append) {
+            append(new LogEntry.View(append.record()));
+        } else if (action instanceof Action.RestateBundle restate) {
+            append(new LogEntry.Configuration(BundleRecord.Kind.STATED, restate.bundle()));
+        } else if (action instanceof Action.Drained drained) {
+            mDrained.accept(drained);
+        }
+    }
+
+    private void append(LogEntry entry) {
+        mLog.append(entry, acknowledged -> mFollower.poll());
+    }
+
+    private String owner() {
+        return mSelf.address() + "#" + mSelf.incarnation();
+    }
+
+    private void start(Action.Start start) {
+        Submission submission = start.submission();
+        long wallMs = System.currentTimeMillis();
+        long startByWallMs = wallMs + start.startByMs() - HttpCaller.nowMs() + CLOCK_MARGIN_MS;
+        TaskOrder order =
+                new TaskOrder(
+                        start.attempt(),
+                        owner(),
+                        submission.id().text(),
+                        start.task().index(),
+                        submission.team(),
+                        submission.kind(),
+                        start.task().need(),
+                        start.timeoutMs(),
+                        Math.min(startByWallMs, submission.deadlineMs()),
+                        start.task().payload());
+        long timeoutMs = Math.max(1, Math.min(start.timeoutMs(), submission.deadlineMs() - wallMs));
+        mTargets.start(
+                start.target().address(),
+                order,
+                start.startByMs(),
+                timeoutMs,
+                outcome -> mEvents.accept(new Event.AttemptEnded(start.attempt(), outcome)));
+    }
+
+    private void reply(Action.Reply reply) {
+        if (reply.caller() instanceof CallerRef.HttpCaller caller) {
+            mCallers.answered(caller.token(), reply.id(), reply.answer());
+        } else if (reply.caller() instanceof CallerRef.PeerCaller peer) {
+            mPeers.answer(
+                    peer.link(), new PeerMessage.ForwardAnswer(peer.forwardId(), reply.answer()));
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragegap/entry/BodyReader.java
@@ -0,0 +1,164 @@
+package org.boragegap.entry;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+import java.util.regex.Pattern;
+import org.apache.commons.codec.digest.MurmurHash3;
+import org.boragegap.core.job.Need;
+import org.boragegap.core.job.Submission;
+import org.boragegap.core.job.SubmissionId;
+import org.boragegap.core.job.TaskSpec;
+
+/** Turns a request body into a submission, or says in one line what is wrong with it. */
+final class BodyReader {
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
+    private static final int MOST_NESTING = 16;
+    private static final long DEFAULT_TIMEOUT_MS = 30_000;
+    private static final long MOST_TIMEOUT_MS = 600_000;
+    private static final int MOST_CPU_MILLIS = 10_000_000;
+    private static final int MOST_ACCELERATORS = 1_000;
+    private static final long DEFAULT_EXPECTED_MS = 100;
+
+    /**
+     * What was read.
+     *
+     * @param submission the submission
+     * @param fresh whether its id was minted here
+     * @param async whether the caller wants 202 at once
+     */
+    record Good(Submission submission, boolean fresh, boolean async) {}
+
+    /** A body that is not acceptable; the message is one line for the caller. */
+    static final class BadBodyException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        BadBodyException(String message) {
+            super(message);
+        }
+    }
+
+    private final ObjectMapper mMapper;
+    private final long mMostTasks;
+    private final Supplier<SubmissionId> mMint;
+
+    BodyReader(long mostTasks, Supplier<SubmissionId> mint) {
+        JsonFactory factory =
+                JsonFactory.builder()
+                        .streamReadConstraints(
+                                StreamReadConstraints.builder()
+                                        .maxNestingDepth(MOST_NESTING)
+                                        .build())
+                        .build();
+        factory.enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
+        mMapper = new ObjectMapper(factory);
+        mMapper.enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+        mMapper.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+        mMostTasks = mostTasks;
+        mMint = mint;
+    }
+
+    /** Reads a job, or a request to a service if one is named. */
+    Good read(String text, Optional<String> service, Optional<String> key, long wallMs)
+            throws BadBodyException {
+        JobBody body = parse(text);
+        require(body.team() != null && NAME.matcher(body.team()).matches(), "team", "a name");
+        require(body.kind() != null && NAME.matcher(body.kind()).matches(), "kind", "a name");
+        long timeoutMs = body.timeoutMs() == null ? DEFAULT_TIMEOUT_MS : body.timeoutMs();
+        require(
+                timeoutMs >= 1 && timeoutMs <= MOST_TIMEOUT_MS,
+                "timeoutMs",
+                "1 to " + MOST_TIMEOUT_MS);
+        List<TaskSpec> tasks = service.isPresent() ? single(body) : tasks(body);
+        Optional<String> given = key.isPresent() ? key : Optional.ofNullable(body.id());
+        SubmissionId id = given.isPresent() ? id(given.get(), body) : mMint.get();
+        String identity = body.team() + '|' + body.kind() + '|' + service + '|' + tasks;
+        byte[] bytes = (identity + '|' + body.idempotent()).getBytes(StandardCharsets.UTF_8);
+        long fingerprint = MurmurHash3.hash128x64(bytes)[0];
+        Submission submission =
+                new Submission(
+                        id,
+                        body.team(),
+                        body.kind(),
+                        service,
+                        body.idempotent(),
+                        wallMs + timeoutMs,
+                        tasks,
+                        fingerprint);
+        return new Good(submission, given.isEmpty(), body.async());
+    }
+
+    private JobBody parse(String text) throws BadBodyException {
+        try {
+            JobBody body = mMapper.readValue(text, JobBody.class);
+            require(body != null, "body", "a JSON object");
+            return body;
+        } catch (JsonProcessingException e) {
+            throw new BadBodyException("body: " + e.getOriginalMessage());
+        }
+    }
+
+    private static void require(boolean good, String field, String expected)
+            throws BadBodyException {
+        if (!good) {
+            throw new BadBodyException(field + ": expected " + expected);
+        }
+    }
+
+    private static SubmissionId id(String text, JobBody body) throws BadBodyException {
+        OptionalLong created =
+                body.created() == null ? OptionalLong.empty() : OptionalLong.of(body.created());
+        SubmissionId.Parsed parsed = SubmissionId.parse(text, created);
+        if (parsed instanceof SubmissionId.Parsed.Invalid invalid) {
+            throw new BadBodyException("id: " + invalid.reason());
+        }
+        return ((SubmissionId.Parsed.Valid) parsed).id();
+    }
+
+    private static List<TaskSpec> single(JobBody body) throws BadBodyException {
+        require(body.payload() != null, "payload", "text");
+        require(body.tasks() == null, "tasks", "nothing, in a request to a service");
+        return List.of(new TaskSpec(0, Need.NONE, DEFAULT_EXPECTED_MS, body.payload()));
+    }
+
+    private List<TaskSpec> tasks(JobBody body) throws BadBodyException {
+        int count = body.tasks() == null ? 0 : body.tasks().size();
+        require(count >= 1 && count <= mMostTasks, "tasks", "1 to " + mMostTasks + " tasks");
+        require(body.payload() == null, "payload", "nothing, in a job; its tasks have theirs");
+        List<TaskSpec> tasks = new ArrayList<>(count);
+        for (JobBody.TaskBody task : body.tasks()) {
+            tasks.add(task(tasks.size(), task));
+        }
+        return List.copyOf(tasks);
+    }
+
+    private static TaskSpec task(int index, JobBody.TaskBody task) throws BadBodyException {
+        String name = "tasks[" + index + "]";
+        require(task != null && task.payload() != null, name + ".payload", "text");
+        require(
+                task.cpuMillis() >= 0 && task.cpuMillis() <= MOST_CPU_MILLIS,
+                name + ".cpuMillis",
+                "0 to " + MOST_CPU_MILLIS);
+        require(task.memoryMb() >= 0, name + ".memoryMb", "0 or more");
+        require(
+                task.accelerators() >= 0 && task.accelerators() <= MOST_ACCELERATORS,
+                name + ".accelerators",
+                "0 to " + MOST_ACCELERATORS);
+        require(
+                task.expectedMs() >= 0 && task.expectedMs() <= MOST_TIMEOUT_MS,
+                name + ".expectedMs",
+                "0 to " + MOST_TIMEOUT_MS);
+        Need need = new Need(task.cpuMillis(), task.memoryMb(), task.accelerators());
+        long expectedMs = task.expectedMs() == 0 ? DEFAULT_EXPECTED_MS : task.expectedMs();
+        return new TaskSpec(index, need, expectedMs, task.payload());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragegap/entry/BundleDesk.java
@@ -0,0 +1,113 @@
+package org.boragegap.entry;
+
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.boragegap.core.bundle.Bundle;
+import org.boragegap.core.bundle.BundleRecord;
+import org.boragegap.core.bundle.CheckedBundle;
+import org.boragegap.core.dispatch.Dispatcher;
+import org.boragegap.http.HttpCaller;
+import org.boragegap.http.HttpIn;
+import org.boragegap.platform.LogClient;
+import org.boragegap.platform.LogEntry;
+import org.boragegap.platform.PlatformException;
+import org.boragegap.platform.PlatformJson;
+
+/**
+ * Publishes bundles and tells which one is in force.
+ *
+ * <p>The reply to a publication comes from reading the log back, so an append whose reply was lost
+ * is told apart from one that didn't take effect.
+ */
+final class BundleDesk {
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int CONFLICT = 409;
+    private static final int TIMEOUT = 504;
+    private static final long WAIT_MS = 10_000;
+    private static final long CHECK_EVERY_MS = 50;
+
+    /** The bundle in force. */
+    private record Status(long version, String publication, long sinceMs) {}
+
+    private final LogClient mLog;
+    private final BundleChecker mChecker;
+    private final ScheduledExecutorService mTimer;
+    private final ControlLoop mLoop;
+    private final LogFollower mFollower;
+
+    BundleDesk(
+            LogClient log,
+            BundleChecker checker,
+            ScheduledExecutorService timer,
+            ControlLoop loop,
+            LogFollower follower) {
+        mLog = log;
+        mChecker = checker;
+        mTimer = timer;
+        mLoop = loop;
+        mFollower = follower;
+    }
+
+    void status(HttpIn in) {
+        mLoop.ask(BundleDesk::status)
+                .thenAccept(status -> in.reply(OK, PlatformJson.write(status)));
+    }
+
+    private static Status status(Dispatcher dispatcher) {
+        String publication =
+                dispatcher
+                        .bundles()
+                        .inForce()
+                        .map(checked -> checked.bundle().publication())
+                        .orElse("");
+        return new Status(
+                dispatcher.bundles().version(), publication, dispatcher.bundles().sinceWallMs());
+    }
+
+    void publish(HttpIn in) {
+        Bundle bundle;
+        try {
+            bundle = PlatformJson.read(in.text(), Bundle.class);
+        } catch (PlatformException e) {
+            refuse(in, BAD_REQUEST, "the body is not a bundle");
+            return;
+        }
+        if (bundle.publication() == null || bundle.signatures() == null || bundle.body() == null) {
+            refuse(in, BAD_REQUEST, "a bundle has publication, body and signatures");
+            return;
+        }
+        CheckedBundle checked = mChecker.check(bundle);
+        if (checked.content().isEmpty()) {
+            refuse(in, BAD_REQUEST, checked.problem());
+            return;
+        }
+        LogEntry entry = new LogEntry.Configuration(BundleRecord.Kind.PUBLISHED, bundle);
+        long untilMs = HttpCaller.nowMs() + WAIT_MS;
+        mLog.append(entry, acknowledged -> awaitVerdict(in, bundle, untilMs));
+    }
+
+    private void awaitVerdict(HttpIn in, Bundle bundle, long untilMs) {
+        mFollower.poll();
+        mLoop.ask(dispatcher -> dispatcher.bundles().verdict(bundle.publication()))
+                .thenAccept(verdict -> onVerdict(in, bundle, untilMs, verdict));
+    }
+
+    private void onVerdict(HttpIn in, Bundle bundle, long untilMs, Optional<String> verdict) {
+        if (verdict.isPresent() && verdict.get().equals("accepted")) {
+            in.reply(OK, "{\"accepted\":true,\"version\":" + bundle.version() + "}");
+        } else if (verdict.isPresent()) {
+            refuse(in, CONFLICT, verdict.get());
+        } else if (HttpCaller.nowMs() > untilMs) {
+            refuse(in, TIMEOUT, "the log did not show it; it may still take effect");
+        } else {
+            mTimer.schedule(
+                    () -> awaitVerdict(in, bundle, untilMs), CHECK_EVERY_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static void refuse(HttpIn in, int status, String detail) {
+        CallerApi.problem(in, Problem.plain(status, "Bundle not accepted", detail));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragegap/entry/CallerApi.java
@@ -0,0 +1,168 @@
+package org.boragegap.entry;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.boragegap.core.dispatch.CallerRef;
+import org.boragegap.core.dispatch.Event;
+import org.boragegap.core.job.Answer;
+import org.boragegap.core.job.SubmissionId;
+import org.boragegap.http.HttpIn;
+import org.boragegap.platform.PlatformJson;
+
+/** HTTP for callers: jobs, requests to services, their state and cancellation. */
+final class CallerApi {
+    private static final Pattern SERVICE =
+            Pattern.compile("/v1/services/([a-z0-9-]{1,64})/requests");
+    private static final Pattern JOB = Pattern.compile("/v1/jobs/([^/]{1,200})");
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+    private static final int NOT_FOUND = 404;
+    private static final int METHOD_NOT_ALLOWED = 405;
+    private static final long MS_PER_SECOND = 1_000;
+
+    /** A caller that waits. */
+    private record Open(HttpIn in, boolean async, boolean service) {}
+
+    /** What a complete job is answered with. */
+    private record CompleteJob(String id, String outcome, List<String> results) {}
+
+    /** What a complete request is answered with. */
+    private record CompleteRequest(String id, String outcome, String result) {}
+
+    private final BodyReader mReader;
+    private final ControlLoop mLoop;
+    private final StatusDesk mStatus;
+    private final Map<Long, Open> mOpen = new ConcurrentHashMap<>();
+    private final AtomicLong mNextToken = new AtomicLong(1);
+
+    CallerApi(BodyReader reader, ControlLoop loop, StatusDesk status) {
+        mReader = reader;
+        mLoop = loop;
+        mStatus = status;
+    }
+
+    void handle(HttpIn in) {
+        Matcher service = SERVICE.matcher(in.path());
+        Matcher job = JOB.matcher(in.path());
+        if (in.path().equals("/v1/jobs")) {
+            submit(in, Optional.empty());
+        } else if (service.matches()) {
+            submit(in, Optional.of(service.group(1)));
+        } else if (job.matches()) {
+            onJob(in, job.group(1));
+        } else {
+            problem(in, Problem.plain(NOT_FOUND, "Not found", "no such path"));
+        }
+    }
+
+    private void submit(HttpIn in, Optional<String> service) {
+        if (!in.method().equals("POST")) {
+            problem(in, Problem.plain(METHOD_NOT_ALLOWED, "Method not allowed", "use POST"));
+            return;
+        }
+        BodyReader.Good good;
+        try {
+            Optional<String> key = in.header("Idempotency-Key");
+            good = mReader.read(in.text(), service, key, System.currentTimeMillis());
+        } catch (BodyReader.BadBodyException e) {
+            problem(in, Problem.badRequest(e.getMessage()));
+            return;
+        }
+        long token = mNextToken.getAndIncrement();
+        mOpen.put(token, new Open(in, good.async(), service.isPresent()));
+        CallerRef caller = new CallerRef.HttpCaller(token);
+        mLoop.post(new Event.Submitted(caller, good.submission(), good.fresh(), 0));
+    }
+
+    private void onJob(HttpIn in, String text) {
+        SubmissionId.Parsed parsed = SubmissionId.parse(text, created(in));
+        if (!(parsed instanceof SubmissionId.Parsed.Valid valid)) {
+            String reason = ((SubmissionId.Parsed.Invalid) parsed).reason();
+            problem(in, Problem.badRequest("id: " + reason));
+            return;
+        }
+        if (in.method().equals("DELETE")) {
+            mLoop.post(new Event.Cancelled(valid.id(), 0));
+            in.reply(ACCEPTED, "{\"state\":\"cancelling\"}");
+        } else if (in.method().equals("GET")) {
+            mStatus.ask(valid.id(), status -> onStatus(in, valid.id(), status));
+        } else {
+            problem(in, Problem.plain(METHOD_NOT_ALLOWED, "Method not allowed", "GET or DELETE"));
+        }
+    }
+
+    private static OptionalLong created(HttpIn in) {
+        try {
+            return in.query("created")
+                    .map(Long::parseLong)
+                    .map(OptionalLong::of)
+                    .orElse(OptionalLong.empty());
+        } catch (NumberFormatException e) {
+            return OptionalLong.empty();
+        }
+    }
+
+    private void onStatus(HttpIn in, SubmissionId id, JobStatus status) {
+        if (status.answer().isPresent()) {
+            answer(in, false, id, status.answer().get());
+        } else if (status.known()) {
+            in.reply(OK, "{\"id\":\"" + id.text() + "\",\"state\":\"running\"}");
+        } else {
+            String detail = "no VM that could be reached knows this id";
+            problem(in, Problem.plain(NOT_FOUND, "Not known", detail));
+        }
+    }
+
+    /** The submission was taken in and will be answered. */
+    void accepted(long token, SubmissionId id) {
+        Open open = mOpen.get(token);
+        if (open == null || !open.async()) {
+            return;
+        }
+        mOpen.remove(token);
+        Map<String, String> headers = Map.of("Location", "/v1/jobs/" + id.text());
+        String json = "{\"id\":\"" + id.text() + "\",\"state\":\"accepted\"}";
+        open.in().reply(ACCEPTED, "application/json", headers, json);
+    }
+
+    /** The one final answer. */
+    void answered(long token, SubmissionId id, Answer answer) {
+        Open open = mOpen.remove(token);
+        if (open != null) {
+            answer(open.in(), open.service(), id, answer);
+        }
+    }
+
+    int open() {
+        return mOpen.size();
+    }
+
+    private static void answer(HttpIn in, boolean service, SubmissionId id, Answer answer) {
+        if (answer instanceof Answer.Failed failed) {
+            problem(in, Problem.of(id.text(), failed));
+            return;
+        }
+        List<String> results = ((Answer.Complete) answer).results();
+        Object body =
+                service
+                        ? new CompleteRequest(id.text(), "complete", results.get(0))
+                        : new CompleteJob(id.text(), "complete", results);
+        in.reply(OK, PlatformJson.write(body));
+    }
+
+    static void problem(HttpIn in, Problem problem) {
+        Map<String, String> headers = Map.of();
+        if (problem.retryAfterMs() != null) {
+            long seconds = (problem.retryAfterMs() + MS_PER_SECOND - 1) / MS_PER_SECOND;
+            headers = Map.of("Retry-After", Long.toString(seconds));
+        }
+        String json = PlatformJson.write(problem);
+        in.reply(problem.status(), "application/problem+json", headers, json);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragegap/entry/ControlLoop.java
@@ -0,0 +1,89 @@
+package org.boragegap.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.boragegap.core.ClockReading;
+import org.boragegap.core.dispatch.Action;
+import org.boragegap.core.dispatch.Dispatcher;
+import org.boragegap.core.dispatch.Event;
+import org.boragegap.http.HttpCaller;
+
+/** The one thread that holds the control state: events in, actions out. */
+final class ControlLoop {
+    private static final Logger sLog = LogManager.getLogger(ControlLoop.class);
+    private static final long TICK_MS = 50;
+
+    private final Dispatcher mDispatcher;
+    private final Consumer<Action> mRunner;
+    private final BlockingQueue<Runnable> mQueue = new LinkedBlockingQueue<>();
+    private final Thread mThread = new Thread(this::run, "control");
+    private final ScheduledExecutorService mTicker =
+            Executors.newSingleThreadScheduledExecutor(
+                    task -> {
+                        Thread thread = new Thread(task, "ticker");
+                        thread.setDaemon(true);
+                        return thread;
+                    });
+    private volatile boolean mStopped;
+
+    ControlLoop(Dispatcher dispatcher, Consumer<Action> runner) {
+        mDispatcher = dispatcher;
+        mRunner = runner;
+    }
+
+    void start() {
+        mThread.start();
+        mTicker.scheduleAtFixedRate(
+                () -> post(new Event.Ticked()), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    void stop() {
+        mStopped = true;
+        mTicker.shutdownNow();
+        mThread.interrupt();
+    }
+
+    void post(Event event) {
+        mQueue.add(() -> handle(event));
+    }
+
+    /** Reads the control state on its own thread. */
+    <T> CompletableFuture<T> ask(Function<Dispatcher, T> question) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        mQueue.add(() -> answer.complete(question.apply(mDispatcher)));
+        return answer;
+    }
+
+    static ClockReading clock() {
+        return new ClockReading(HttpCaller.nowMs(), System.currentTimeMillis());
+    }
+
+    private void handle(Event event) {
+        List<Action> actions = new ArrayList<>();
+        mDispatcher.on(event, clock(), actions);
+        actions.forEach(mRunner);
+    }
+
+    private void run() {
+        while (!mStopped) {
+            try {
+                mQueue.take().run();
+            } catch (InterruptedException e) {
+                return;
+            } catch (RuntimeException e) {
+                // One event that can't be handled must not take the others' jobs with it.
+                sLog.error("event can't be handled", e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragegap/entry/EntryService.java
@@ -0,0 +1,266 @@
+package org.boragegap.entry;
+
+import com.fasterxml.uuid.Generators;
+import com.fasterxml.uuid.impl.TimeBasedEpochGenerator;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.boragegap.core.claim.ClaimLimits;
+import org.boragegap.core.claim.Member;
+import org.boragegap.core.dispatch.Action;
+import org.boragegap.core.dispatch.CallerRef;
+import org.boragegap.core.dispatch.DispatchSettings;
+import org.boragegap.core.dispatch.Dispatcher;
+import org.boragegap.core.dispatch.Event;
+import org.boragegap.core.job.SubmissionId;
+import org.boragegap.core.limit.QueueOrder;
+import org.boragegap.core.placement.PlacementPolicy;
+import org.boragegap.http.HttpCaller;
+import org.boragegap.http.HttpEndpoint;
+import org.boragegap.platform.LogClient;
+import org.boragegap.platform.TargetClient;
+import org.boragegap.platform.VmListClient;
+import org.boragegap.wire.PeerListener;
+import org.boragegap.wire.PeerMessage;
+import org.boragegap.wire.PeerTransport;
+
+/** One entry process: all its parts, started and stopped together. */
+public final class EntryService {
+    private static final Logger sLog = LogManager.getLogger(EntryService.class);
+    private static final int TRAFFIC_THREADS = 2;
+    private static final long PROBE_EVERY_MS = 1_000;
+    private static final int OPERATOR_BODY_BYTES = 8 * 1024 * 1024;
+
+    private final Settings mSettings;
+    private final Member mSelf;
+    private final HttpCaller mHttp;
+    private final PeerTransport mPeers;
+    private final ControlLoop mLoop;
+    private final LogFollower mFollower;
+    private final VmListClient mVmList;
+    private final CallerApi mCallers;
+    private final StatusDesk mStatus;
+    private final BundleChecker mChecker;
+    private final Metrics mMetrics = new Metrics();
+    private final HttpEndpoint mCallerEndpoint;
+    private final HttpEndpoint mOperatorEndpoint;
+    private final ExecutorService mTraffic;
+    private final ScheduledExecutorService mTimer =
+            Executors.newSingleThreadScheduledExecutor(task -> daemon(task, "timer"));
+    private final CountDownLatch mDrained = new CountDownLatch(1);
+    private final AtomicReference<Action.Drained> mSummary = new AtomicReference<>();
+
+    private EntryService(Settings settings) throws EntryException {
+        mSettings = settings;
+        mSelf = new Member(settings.text(Setting.PEER_ADDRESS), System.currentTimeMillis());
+        mTraffic = Executors.newFixedThreadPool(TRAFFIC_THREADS, task -> daemon(task, "traffic"));
+        mHttp = HttpCaller.create((int) settings.number(Setting.CONNECTIONS));
+        mChecker =
+                BundleChecker.create(
+                        settings.text(Setting.SIGNERS), settings.number(Setting.SIGNATURES));
+        mStatus = new StatusDesk(mTimer);
+        mPeers =
+                PeerTransport.create(
+                        settings.host(Setting.PEER_ADDRESS),
+                        settings.port(Setting.PEER_ADDRESS),
+                        new Peers());
+        LogClient log = LogClient.create(mHttp, settings.text(Setting.LOG_ADDRESS));
+        mVmList = VmListClient.create(mHttp, settings.text(Setting.VM_LIST_ADDRESS));
+        TargetClient targets = TargetClient.create(mHttp);
+        ActionRunner runner = new ActionRunner(mSelf, targets, log, mPeers, mTraffic);
+        mLoop = new ControlLoop(newDispatcher(), runner::run);
+        mFollower =
+                new LogFollower(
+                        log, mChecker, mLoop::post, mTimer, settings.number(Setting.LOG_POLL_MS));
+        BodyReader reader = new BodyReader(settings.number(Setting.TASKS_PER_JOB), this::mint);
+        mCallers = new CallerApi(reader, mLoop, mStatus);
+        runner.connect(mCallers, mFollower, mLoop::post, this::onDrained);
+        mStatus.connect(mLoop, mPeers);
+        BundleDesk bundles = new BundleDesk(log, mChecker, mTimer, mLoop, mFollower);
+        OperatorApi operators =
+                new OperatorApi(operatorKey(), mLoop, mMetrics, bundles, this::drain);
+        mCallerEndpoint =
+                HttpEndpoint.create(
+                        "callers",
+                        settings.host(Setting.CALLER_ADDRESS),
+                        settings.port(Setting.CALLER_ADDRESS),
+                        (int) settings.number(Setting.BODY_BYTES),
+                        mCallers::handle);
+        mOperatorEndpoint =
+                HttpEndpoint.create(
+                        "operators",
+                        settings.host(Setting.OPERATOR_ADDRESS),
+                        settings.port(Setting.OPERATOR_ADDRESS),
+                        OPERATOR_BODY_BYTES,
+                        operators::handle);
+    }
+
+    /**
+     * Makes an entry process.
+     *
+     * @throws EntryException if the settings can't be used
+     */
+    public static EntryService create(Settings settings) throws EntryException {
+        return new EntryService(settings);
+    }
+
+    private static Thread daemon(Runnable task, String name) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    private String operatorKey() throws EntryException {
+        String file = mSettings.text(Setting.OPERATOR_KEY_FILE);
+        if (file.isEmpty()) {
+            return "";
+        }
+        try {
+            return Files.readString(Path.of(file)).trim();
+        } catch (IOException e) {
+            throw new EntryException("[operators] key_file = " + file + ": can't be read", e);
+        }
+    }
+
+    private Dispatcher newDispatcher() {
+        Settings settings = mSettings;
+        DispatchSettings dispatch =
+                new DispatchSettings(
+                        settings.text(Setting.FAILURE_DOMAIN),
+                        settings.names(Setting.FAILURE_DOMAINS),
+                        PlacementPolicy.valueOf(settings.text(Setting.PLACEMENT)),
+                        QueueOrder.valueOf(settings.text(Setting.ORDER)),
+                        (int) settings.number(Setting.QUEUED_TASKS),
+                        settings.flag(Setting.REFUSE_HOPELESS),
+                        settings.number(Setting.ANSWER_KEEP_MS),
+                        settings.number(Setting.START_GRACE_MS),
+                        settings.number(Setting.RETRY_PERCENT) / 100.0,
+                        10);
+        ClaimLimits limits =
+                new ClaimLimits(
+                        settings.number(Setting.ID_WINDOW_MS),
+                        settings.number(Setting.CLOCK_SKEW_MS),
+                        settings.number(Setting.CLAIM_TIMEOUT_MS),
+                        settings.number(Setting.RESEND_MS),
+                        settings.number(Setting.SUSPECT_MS),
+                        settings.number(Setting.LOG_RETENTION_MS));
+        RandomGenerator random =
+                new java.util.SplittableRandom(mSelf.incarnation() ^ mSelf.address().hashCode());
+        return Dispatcher.create(mSelf, dispatch, limits, random);
+    }
+
+    private final TimeBasedEpochGenerator mIds = Generators.timeBasedEpochGenerator();
+
+    private SubmissionId mint() {
+        return SubmissionId.mint(
+                mSettings.text(Setting.FAILURE_DOMAIN), mSelf.address(), mIds.generate());
+    }
+
+    /** Starts all parts. */
+    public void start() throws IOException {
+        mHttp.start();
+        mPeers.start();
+        mLoop.start();
+        mFollower.start();
+        every(mSettings.number(Setting.VM_LIST_POLL_MS), this::pollVmList);
+        every(PROBE_EVERY_MS, () -> mPeers.probe(HttpCaller.nowMs()));
+        every(PROBE_EVERY_MS, this::publishState);
+        mOperatorEndpoint.start();
+        mCallerEndpoint.start();
+        sLog.info(
+                "entry VM {} incarnation {} of failure domain {} takes callers at {}",
+                mSelf.address(),
+                mSelf.incarnation(),
+                mSettings.text(Setting.FAILURE_DOMAIN),
+                mSettings.text(Setting.CALLER_ADDRESS));
+    }
+
+    private void every(long periodMs, Runnable task) {
+        mTimer.scheduleWithFixedDelay(task, 0, periodMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void pollVmList() {
+        mVmList.read(list -> list.ifPresent(vms -> mLoop.post(new Event.VmsListed(vms.vms()))));
+    }
+
+    private void publishState() {
+        mLoop.ask(dispatcher -> dispatcher.state(ControlLoop.clock()))
+                .thenAccept(mMetrics::publish);
+    }
+
+    /** Begins a graceful shutdown; asking twice changes nothing. */
+    public void drain() {
+        sLog.info("draining");
+        mLoop.post(new Event.DrainAsked(mSettings.number(Setting.DRAIN_MS)));
+    }
+
+    private void onDrained(Action.Drained drained) {
+        mSummary.set(drained);
+        mDrained.countDown();
+    }
+
+    /** Waits until the drain is over and its answers are out. */
+    public void awaitDrained() throws InterruptedException {
+        mDrained.await();
+        mTraffic.shutdown();
+        mTraffic.awaitTermination(1, TimeUnit.SECONDS);
+        Action.Drained summary = mSummary.get();
+        sLog.info(
+                "drained: {} submissions answered since the drain began, {} of them failed at the"
+                        + " bound",
+                summary.finished(),
+                summary.failed());
+    }
+
+    /** Stops all parts at once. */
+    public void stop() {
+        mCallerEndpoint.stop();
+        mOperatorEndpoint.stop();
+        mLoop.stop();
+        mPeers.stop();
+        mHttp.stop();
+        mTimer.shutdownNow();
+        mTraffic.shutdownNow();
+    }
+
+    private final class Peers implements PeerListener {
+        @Override
+        public void onMessage(long link, PeerMessage message) {
+            if (message instanceof PeerMessage.Claims claims) {
+                mLoop.post(new Event.PeerSpoke(claims.from(), claims.message()));
+            } else if (message instanceof PeerMessage.Loans loans) {
+                mLoop.post(new Event.SiblingLent(loans.from(), loans.message()));
+            } else if (message instanceof PeerMessage.Forward forward) {
+                CallerRef caller = new CallerRef.PeerCaller(link, forward.forwardId());
+                mLoop.post(
+                        new Event.Submitted(caller, forward.submission(), false, forward.hops()));
+            } else if (message instanceof PeerMessage.ForwardAnswer answer) {
+                mLoop.post(new Event.ForwardAnswered(answer.forwardId(), answer.answer()));
+            } else if (message instanceof PeerMessage.Cancel cancel) {
+                mLoop.post(new Event.Cancelled(cancel.id(), cancel.hops()));
+            } else if (message instanceof PeerMessage.BundleIs is) {
+                mLoop.post(new Event.BundlePassedOn(mChecker.check(is.bundle())));
+            } else if (message instanceof PeerMessage.Ask ask) {
+                mStatus.onAsked(link, ask);
+            } else if (message instanceof PeerMessage.Told told) {
+                mStatus.onTold(told);
+            }
+        }
+
+        @Override
+        public void onLost(String address, PeerMessage message, boolean sent) {
+            if (message instanceof PeerMessage.Forward forward) {
+                mLoop.post(new Event.ForwardLost(forward.forwardId(), sent));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragegap/entry/LogFollower.java
@@ -0,0 +1,112 @@
+package org.boragegap.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.boragegap.core.bundle.BundleRecord;
+import org.boragegap.core.claim.LogBatch;
+import org.boragegap.core.claim.LoggedView;
+import org.boragegap.core.dispatch.Event;
+import org.boragegap.http.HttpCaller;
+import org.boragegap.platform.LogClient;
+import org.boragegap.platform.LogEntry;
+import org.boragegap.platform.LogPage;
+import org.boragegap.platform.PlatformException;
+import org.boragegap.platform.PlatformJson;
+
+/** Reads the platform's log from its oldest record on, again and again. */
+final class LogFollower {
+    private static final Logger sLog = LogManager.getLogger(LogFollower.class);
+
+    private final LogClient mLog;
+    private final BundleChecker mChecker;
+    private final Consumer<Event> mEvents;
+    private final ScheduledExecutorService mTimer;
+    private final long mPollMs;
+    private final AtomicBoolean mReading = new AtomicBoolean();
+    private volatile long mNext;
+    private volatile boolean mWholeHistory = true;
+    private volatile boolean mStarted;
+
+    LogFollower(
+            LogClient log,
+            BundleChecker checker,
+            Consumer<Event> events,
+            ScheduledExecutorService timer,
+            long pollMs) {
+        mLog = log;
+        mChecker = checker;
+        mEvents = events;
+        mTimer = timer;
+        mPollMs = pollMs;
+    }
+
+    void start() {
+        mTimer.scheduleWithFixedDelay(this::poll, 0, mPollMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** Reads now, for instance after an append. */
+    void poll() {
+        if (!mReading.compareAndSet(false, true)) {
+            return;
+        }
+        long startedMs = HttpCaller.nowMs();
+        mLog.read(mNext, page -> onPage(page, startedMs));
+    }
+
+    private void onPage(Optional<LogPage> page, long startedMs) {
+        try {
+            page.ifPresent(read -> take(read, startedMs));
+        } finally {
+            mReading.set(false);
+        }
+        boolean more = page.isPresent() && page.get().next() < page.get().end();
+        if (more) {
+            poll();
+        }
+    }
+
+    private void take(LogPage page, long startedMs) {
+        boolean missed = page.first() > mNext;
+        if (!mStarted) {
+            mWholeHistory = page.first() == 0;
+        } else if (missed) {
+            mWholeHistory = false;
+            sLog.warn("records {} to {} of the log were missed", mNext, page.first());
+        }
+        mStarted = true;
+        mNext = page.next();
+        List<LoggedView> views = new ArrayList<>();
+        List<BundleRecord> bundles = new ArrayList<>();
+        for (LogPage.Item item : page.records()) {
+            sort(page, item, views, bundles);
+        }
+        boolean atEnd = page.next() >= page.end();
+        LogBatch batch = new LogBatch(views, mWholeHistory, atEnd, startedMs);
+        mEvents.accept(new Event.LogRead(batch, bundles));
+    }
+
+    private void sort(
+            LogPage page, LogPage.Item item, List<LoggedView> views, List<BundleRecord> bundles) {
+        try {
+            LogEntry entry = PlatformJson.read(item.body(), LogEntry.class);
+            if (entry instanceof LogEntry.View view) {
+                long ageMs = page.nowMs() - item.atMs();
+                views.add(new LoggedView(view.record(), item.atMs(), ageMs));
+            } else if (entry instanceof LogEntry.Configuration configuration) {
+                bundles.add(
+                        new BundleRecord(
+                                configuration.kind(), mChecker.check(configuration.bundle())));
+            }
+        } catch (PlatformException e) {
+            // Other users of the log, or a later version of this system, may write there too.
+            sLog.debug("record {} of the log is not ours", item.offset());
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragegap/entry/Setting.java
@@ -0,0 +1,209 @@
+package org.boragegap.entry;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+/** Every setting of an entry process, with its unit, range and default. */
+public enum Setting {
+    FAILURE_DOMAIN("vm", "failure_domain", SettingType.NAME, "", null, "failure domain of this VM"),
+    PEER_ADDRESS(
+            "vm", "peer_address", SettingType.ADDRESS, "", null, "where other entry VMs reach it"),
+    CALLER_ADDRESS("vm", "caller_address", SettingType.ADDRESS, "", null, "HTTP for callers"),
+    OPERATOR_ADDRESS("vm", "operator_address", SettingType.ADDRESS, "", null, "HTTP for operators"),
+    FAILURE_DOMAINS(
+            "deployment",
+            "failure_domains",
+            SettingType.NAMES,
+            "",
+            null,
+            "all failure domains; the same on every VM"),
+    LOG_ADDRESS("platform", "log", SettingType.ADDRESS, "", null, "the platform's log"),
+    VM_LIST_ADDRESS(
+            "platform", "vm_list", SettingType.ADDRESS, "", null, "the platform's list of VMs"),
+    LOG_POLL_MS("platform", "log_poll_ms", SettingType.of(20, 10_000), "ms", "500", "log reads"),
+    VM_LIST_POLL_MS(
+            "platform", "vm_list_poll_ms", SettingType.of(100, 60_000), "ms", "1000", "list reads"),
+    LOG_RETENTION_MS(
+            "platform",
+            "log_retention_ms",
+            SettingType.of(10_000, 31_536_000_000L),
+            "ms",
+            "3600000",
+            "how long the log keeps a record"),
+    OPERATOR_KEY_FILE(
+            "operators", "key_file", SettingType.TEXT, "", "", "file with the operators' key"),
+    SIGNERS(
+            "bundles",
+            "signers",
+            SettingType.TEXT,
+            "",
+            "",
+            "name=key, ... (Ed25519, base64 X.509)"),
+    SIGNATURES("bundles", "signatures", SettingType.of(0, 16), "", "2", "signers that must agree"),
+    BODY_BYTES(
+            "limits",
+            "body_bytes",
+            SettingType.of(1_024, 16_777_216),
+            "bytes",
+            "2097152",
+            "largest request body"),
+    TASKS_PER_JOB("limits", "tasks_per_job", SettingType.of(1, 10_000), "", "360", "tasks a job"),
+    QUEUED_TASKS(
+            "limits", "queued_tasks", SettingType.of(1, 1_000_000), "", "20000", "tasks waiting"),
+    REFUSE_HOPELESS(
+            "limits",
+            "refuse_hopeless",
+            SettingType.BOOLEAN,
+            "",
+            "true",
+            "refuse at once what can't make its deadline"),
+    CONNECTIONS(
+            "limits",
+            "connections_per_target",
+            SettingType.of(1, 1_024),
+            "",
+            "64",
+            "connections to one target"),
+    ID_WINDOW_MS(
+            "claims",
+            "id_window_ms",
+            SettingType.of(10_000, 86_400_000),
+            "ms",
+            "300000",
+            "how long an id is valid"),
+    CLOCK_SKEW_MS(
+            "claims",
+            "clock_skew_ms",
+            SettingType.of(1, 60_000),
+            "ms",
+            "1000",
+            "bound between two clocks"),
+    CLAIM_TIMEOUT_MS(
+            "claims",
+            "claim_timeout_ms",
+            SettingType.of(50, 60_000),
+            "ms",
+            "1500",
+            "wait for a claim"),
+    RESEND_MS(
+            "claims", "resend_ms", SettingType.of(10, 10_000), "ms", "200", "pause between tries"),
+    SUSPECT_MS(
+            "claims",
+            "suspect_ms",
+            SettingType.of(100, 60_000),
+            "ms",
+            "2000",
+            "silence before suspicion"),
+    ANSWER_KEEP_MS(
+            "claims",
+            "answer_keep_ms",
+            SettingType.of(0, 3_600_000),
+            "ms",
+            "60000",
+            "answers kept for resubmissions"),
+    PLACEMENT(
+            "policy",
+            "placement",
+            SettingType.oneOf("ROUND_ROBIN", "LEAST_LOADED", "POWER_OF_TWO"),
+            "",
+            "POWER_OF_TWO",
+            "choice among targets"),
+    ORDER("policy", "order", SettingType.oneOf("FIFO", "FAIR"), "", "FAIR", "order of the queue"),
+    START_GRACE_MS(
+            "policy",
+            "start_grace_ms",
+            SettingType.of(50, 60_000),
+            "ms",
+            "1000",
+            "from decision to sending"),
+    RETRY_PERCENT(
+            "policy", "retry_percent", SettingType.of(0, 100), "%", "10", "retries per first try"),
+    DRAIN_MS("drain", "bound_ms", SettingType.of(0, 3_600_000), "ms", "30000", "longest drain"),
+    LOG_LEVEL(
+            "logging",
+            "level",
+            SettingType.oneOf("ERROR", "WARN", "INFO", "DEBUG"),
+            "",
+            "INFO",
+            "least level that is logged");
+
+    private final String mSection;
+    private final String mKey;
+    private final SettingType mType;
+    private final String mUnit;
+    private final String mFallback;
+    private final String mMeaning;
+
+    Setting(
+            String section,
+            String key,
+            SettingType type,
+            String unit,
+            String fallback,
+            String meaning) {
+        mSection = section;
+        mKey = key;
+        mType = type;
+        mUnit = unit;
+        mFallback = fallback;
+        mMeaning = meaning;
+    }
+
+    /** Section and key, as {@code section.key}. */
+    public String path() {
+        return mSection + "." + mKey;
+    }
+
+    /** Section of the INI file. */
+    public String section() {
+        return mSection;
+    }
+
+    /** Key within the section. */
+    public String key() {
+        return mKey;
+    }
+
+    /** What values it takes. */
+    public SettingType type() {
+        return mType;
+    }
+
+    /** Unit of the value, or empty. */
+    public String unit() {
+        return mUnit;
+    }
+
+    /** Value when the file names none; empty when it must. */
+    public Optional<String> fallback() {
+        return Optional.ofNullable(mFallback);
+    }
+
+    /** What it is, in a few words. */
+    public String meaning() {
+        return mMeaning;
+    }
+
+    /** The setting with this section and key. */
+    public static Optional<Setting> find(String section, String key) {
+        return Arrays.stream(values())
+                .filter(setting -> setting.mSection.equals(section) && setting.mKey.equals(key))
+                .findFirst();
+    }
+
+    /** The table of all settings, as Markdown. */
+    public static String table() {
+        StringBuilder table =
+                new StringBuilder("| setting | values | unit | default | meaning |\n");
+        table.append("| --- | --- | --- | --- | --- |\n");
+        for (Setting setting : values()) {
+            String fallback = setting.fallback().orElse("(required)");
+            table.append("| `").append(setting.path()).append("` | ");
+            table.append(setting.type().expected()).append(" | ");
+            table.append(setting.unit()).append(" | ");
+            table.append(fallback.isEmpty() ? "(none)" : fallback).append(" | ");
+            table.append(setting.meaning()).append(" |\n");
+        }
+        return table.toString();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragegap/entry/StatusDesk.java
@@ -0,0 +1,109 @@
+package org.boragegap.entry;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.boragegap.core.dispatch.Dispatcher;
+import org.boragegap.core.job.SubmissionId;
+import org.boragegap.wire.PeerMessage;
+import org.boragegap.wire.PeerTransport;
+
+/** Finds out the state of a submission, here or on the VMs that may hold it. */
+final class StatusDesk {
+    private static final long WAIT_MS = 1_000;
+
+    private static final class Question {
+        private final Consumer<JobStatus> mDone;
+        private final AtomicInteger mMissing;
+
+        private Question(Consumer<JobStatus> done, int asked) {
+            mDone = done;
+            mMissing = new AtomicInteger(asked);
+        }
+    }
+
+    private final ScheduledExecutorService mTimer;
+    private final Map<Long, Question> mQuestions = new ConcurrentHashMap<>();
+    private final AtomicLong mNextId = new AtomicLong(1);
+    private ControlLoop mLoop;
+    private PeerTransport mPeers;
+
+    StatusDesk(ScheduledExecutorService timer) {
+        mTimer = timer;
+    }
+
+    void connect(ControlLoop loop, PeerTransport peers) {
+        mLoop = loop;
+        mPeers = peers;
+    }
+
+    void ask(SubmissionId id, Consumer<JobStatus> done) {
+        mLoop.ask(dispatcher -> status(dispatcher, id))
+                .thenAccept(
+                        status -> {
+                            if (status.known()) {
+                                done.accept(status);
+                            } else {
+                                askPeers(id, done);
+                            }
+                        });
+    }
+
+    private static JobStatus status(Dispatcher dispatcher, SubmissionId id) {
+        return new JobStatus(dispatcher.knows(id), dispatcher.answerTo(id));
+    }
+
+    private void askPeers(SubmissionId id, Consumer<JobStatus> done) {
+        mLoop.ask(dispatcher -> dispatcher.likelyHolders(id))
+                .thenAccept(holders -> askEach(id, holders, done));
+    }
+
+    private void askEach(SubmissionId id, Set<String> holders, Consumer<JobStatus> done) {
+        if (holders.isEmpty()) {
+            done.accept(JobStatus.UNKNOWN);
+            return;
+        }
+        long questionId = mNextId.getAndIncrement();
+        mQuestions.put(questionId, new Question(done, holders.size()));
+        for (String address : holders) {
+            mPeers.send(address, new PeerMessage.Ask(questionId, id));
+        }
+        mTimer.schedule(() -> end(questionId, JobStatus.UNKNOWN), WAIT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    void onAsked(long link, PeerMessage.Ask ask) {
+        mLoop.ask(dispatcher -> status(dispatcher, ask.id()))
+                .thenAccept(
+                        status ->
+                                mPeers.answer(
+                                        link,
+                                        new PeerMessage.Told(
+                                                ask.questionId(),
+                                                status.known(),
+                                                status.answer())));
+    }
+
+    void onTold(PeerMessage.Told told) {
+        Question question = mQuestions.get(told.questionId());
+        if (question == null) {
+            return;
+        }
+        if (told.known()) {
+            end(told.questionId(), new JobStatus(true, told.answer()));
+        } else if (question.mMissing.decrementAndGet() == 0) {
+            end(told.questionId(), JobStatus.UNKNOWN);
+        }
+    }
+
+    private void end(long questionId, JobStatus status) {
+        Question question = mQuestions.remove(questionId);
+        if (question != null) {
+            question.mDone.accept(status);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragegap/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry process: HTTP for callers and operators, the control thread, settings and metrics. */
+package org.boragegap.entry;
--- /dev/null
+++ b/http/src/main/java/org/boragegap/http/HttpEndpoint.java
@@ -0,0 +1,158 @@
+package org.boragegap.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.glassfish.grizzly.ReadHandler;
+import org.glassfish.grizzly.http.io.NIOInputStream;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/** An HTTP listener that reads whole bodies without blocking and hands them to one handler. */
+public final class HttpEndpoint {
+    private static final Logger sLog = LogManager.getLogger(HttpEndpoint.class);
+    private static final int SELECTORS = 2;
+    private static final int TOO_LARGE = 413;
+    private static final int MOST_HEADER_BYTES = 16 * 1024;
+    private static final int BUFFER_BYTES = 8 * 1024;
+
+    private final HttpServer mServer = new HttpServer();
+
+    private HttpEndpoint(String name, String host, int port, int mostBytes, Handler handler) {
+        NetworkListener listener = new NetworkListener(name, host, port);
+        listener.setMaxHttpHeaderSize(MOST_HEADER_BYTES);
+        TCPNIOTransport transport = listener.getTransport();
+        transport.setIOStrategy(SameThreadIOStrategy.getInstance());
+        transport.setSelectorRunnersCount(SELECTORS);
+        transport.setKernelThreadPoolConfig(
+                ThreadPoolConfig.defaultConfig()
+                        .setPoolName(name)
+                        .setCorePoolSize(SELECTORS)
+                        .setMaxPoolSize(SELECTORS));
+        transport.setTcpNoDelay(true);
+        mServer.addListener(listener);
+        mServer.getServerConfiguration().addHttpHandler(new WholeBodies(mostBytes, handler), "/");
+        mServer.getServerConfiguration().setJmxEnabled(false);
+    }
+
+    /** Takes requests. */
+    public interface Handler extends Consumer<HttpIn> {}
+
+    /**
+     * Makes an endpoint.
+     *
+     * @param name used for its threads
+     * @param host address to listen on
+     * @param port port to listen on
+     * @param mostBytes largest body that is taken
+     * @param handler takes each request; must not block
+     */
+    public static HttpEndpoint create(
+            String name, String host, int port, int mostBytes, Handler handler) {
+        return new HttpEndpoint(name, host, port, mostBytes, handler);
+    }
+
+    /** Starts listening. */
+    public void start() throws IOException {
+        mServer.start();
+    }
+
+    /** Stops listening and closes all connections. */
+    public void stop() {
+        mServer.shutdownNow();
+    }
+
+    private static final class WholeBodies extends HttpHandler {
+        private final int mMostBytes;
+        private final Handler mHandler;
+
+        private WholeBodies(int mostBytes, Handler handler) {
+            mMostBytes = mostBytes;
+            mHandler = handler;
+        }
+
+        @Override
+        public void service(Request request, Response response) {
+            response.suspend();
+            if (request.getContentLengthLong() > mMostBytes) {
+                tooLarge(request, response);
+                return;
+            }
+            NIOInputStream input = request.getNIOInputStream();
+            input.notifyAvailable(new BodyReader(request, response, input));
+        }
+
+        private void tooLarge(Request request, Response response) {
+            String problem =
+                    "{\"title\":\"Body too large\",\"status\":413,\"outcome\":\"not_run\","
+                            + "\"detail\":\"the body may have "
+                            + mMostBytes
+                            + " bytes\"}";
+            new HttpIn(request, response, new byte[0])
+                    .reply(
+                            TOO_LARGE,
+                            "application/problem+json",
+                            Map.of("Connection", "close"),
+                            problem);
+        }
+
+        private final class BodyReader implements ReadHandler {
+            private final Request mRequest;
+            private final Response mResponse;
+            private final NIOInputStream mInput;
+            private final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
+
+            private BodyReader(Request request, Response response, NIOInputStream input) {
+                mRequest = request;
+                mResponse = response;
+                mInput = input;
+            }
+
+            @Override
+            public void onDataAvailable() throws IOException {
+                readAvailable();
+                if (mBytes.size() > mMostBytes) {
+                    tooLarge(mRequest, mResponse);
+                    return;
+                }
+                mInput.notifyAvailable(this);
+            }
+
+            @Override
+            public void onAllDataRead() throws IOException {
+                readAvailable();
+                if (mBytes.size() > mMostBytes) {
+                    tooLarge(mRequest, mResponse);
+                    return;
+                }
+                mHandler.accept(new HttpIn(mRequest, mResponse, mBytes.toByteArray()));
+            }
+
+            @Override
+            public void onError(Throwable cause) {
+                sLog.debug("request body can't be read: {}", cause.getMessage());
+                mResponse.resume();
+            }
+
+            private void readAvailable() throws IOException {
+                byte[] buffer = new byte[BUFFER_BYTES];
+                while (mInput.isReady()) {
+                    int count = mInput.read(buffer);
+                    if (count <= 0) {
+                        return;
+                    }
+                    mBytes.write(buffer, 0, count);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/boragegap/http/HttpIn.java
@@ -0,0 +1,80 @@
+package org.boragegap.http;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+
+/** One request that came in, with its whole body; it is replied to once, on any thread. */
+public final class HttpIn {
+    private final Request mRequest;
+    private final Response mResponse;
+    private final byte[] mBody;
+    private final AtomicBoolean mReplied = new AtomicBoolean();
+
+    HttpIn(Request request, Response response, byte[] body) {
+        mRequest = request;
+        mResponse = response;
+        mBody = body;
+    }
+
+    /** HTTP method. */
+    public String method() {
+        return mRequest.getMethod().getMethodString();
+    }
+
+    /** Path without the query. */
+    public String path() {
+        return mRequest.getRequestURI();
+    }
+
+    /** A query parameter. */
+    public Optional<String> query(String name) {
+        return Optional.ofNullable(mRequest.getParameter(name));
+    }
+
+    /** A header. */
+    public Optional<String> header(String name) {
+        return Optional.ofNullable(mRequest.getHeader(name));
+    }
+
+    /** The body as UTF-8. */
+    public String text() {
+        return new String(mBody, StandardCharsets.UTF_8);
+    }
+
+    /** Replies with JSON. */
+    public void reply(int status, String json) {
+        reply(status, "application/json", Map.of(), json);
+    }
+
+    /** Replies; only the first reply counts. */
+    public void reply(int status, String contentType, Map<String, String> headers, String text) {
+        if (!mReplied.compareAndSet(false, true)) {
+            return;
+        }
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        mResponse.setStatus(status);
+        mResponse.setContentType(contentType);
+        mResponse.setContentLength(bytes.length);
+        headers.forEach(mResponse::setHeader);
+        try {
+            mResponse.getOutputStream().write(bytes);
+        } catch (IOException e) {
+            // The caller has gone away; there is nobody to tell.
+            mRequest.getContext().getConnection().closeSilently();
+        }
+        mResponse.resume();
+    }
+
+    /** Closes the connection without a reply. */
+    public void drop() {
+        if (mReplied.compareAndSet(false, true)) {
+            mRequest.getContext().getConnection().closeSilently();
+            mResponse.resume();
+        }
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/boragegap/http/HttpPool.java
@@ -0,0 +1,66 @@
+package org.boragegap.http;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.glassfish.grizzly.Connection;
+
+/**
+ * Idle connections to one address and a count of all of them.
+ *
+ * <p>An idle connection may have gone silent for good, and a request written to it would be lost.
+ * Only one that worked a moment ago is used again.
+ */
+final class HttpPool {
+    private static final long REUSE_WITHIN_MS = 2_000;
+
+    private record Idle(Connection<?> connection, long sinceMs) {}
+
+    private final int mMost;
+    private final Deque<Idle> mIdle = new ArrayDeque<>();
+    private int mOpen;
+
+    HttpPool(int most) {
+        mMost = most;
+    }
+
+    synchronized Connection<?> takeIdle(long nowMs) {
+        while (!mIdle.isEmpty()) {
+            Idle idle = mIdle.pollLast();
+            if (idle.connection().isOpen() && nowMs - idle.sinceMs() <= REUSE_WITHIN_MS) {
+                return idle.connection();
+            }
+            mOpen--;
+            idle.connection().closeSilently();
+        }
+        return null;
+    }
+
+    synchronized void putIdle(Connection<?> connection, long nowMs) {
+        mIdle.addLast(new Idle(connection, nowMs));
+    }
+
+    synchronized boolean tryOpen() {
+        if (mOpen >= mMost) {
+            return false;
+        }
+        mOpen++;
+        return true;
+    }
+
+    synchronized void closed() {
+        mOpen--;
+    }
+
+    void closeStale(long nowMs) {
+        List<Connection<?>> stale = new ArrayList<>();
+        synchronized (this) {
+            while (!mIdle.isEmpty() && nowMs - mIdle.peekFirst().sinceMs() > REUSE_WITHIN_MS) {
+                stale.add(mIdle.pollFirst().connection());
+                mOpen--;
+            }
+        }
+        stale.forEach(Connection::closeSilently);
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/boragegap/http/package-info.java
@@ -0,0 +1,2 @@
+/** A small HTTP client and server on Grizzly; the client never sends anything twice. */
+package org.boragegap.http;
--- /dev/null
+++ b/standin/src/main/java/org/boragegap/standin/LogStandin.java
@@ -0,0 +1,154 @@
+package org.boragegap.standin;
+
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.boragegap.http.HttpEndpoint;
+import org.boragegap.http.HttpIn;
+import org.boragegap.platform.LogPage;
+import org.boragegap.platform.PlatformJson;
+
+/**
+ * Stands in for the platform's append-only log, in memory.
+ *
+ * <p>It may listen on several ports, each with its own mode, so that one failure domain can be cut
+ * off from it and not the others.
+ */
+public final class LogStandin implements Standin {
+    private static final int MOST_BODY_BYTES = 1024 * 1024;
+    private static final int PAGE_RECORDS = 500;
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+
+    private final List<HttpEndpoint> mEndpoints = new ArrayList<>();
+    private final LogMode[] mModes;
+    private final long mRetentionMs;
+    private final Deque<LogPage.Item> mRecords = new ArrayDeque<>();
+    private final ScheduledExecutorService mDelays = Executors.newSingleThreadScheduledExecutor();
+    private long mNext;
+    private volatile long mSlowMs = 500;
+    private long mAppends;
+    private long mReads;
+
+    private LogStandin(String host, List<Integer> ports, long retentionMs) {
+        mRetentionMs = retentionMs;
+        mModes = new LogMode[ports.size()];
+        for (int i = 0; i < ports.size(); i++) {
+            int listener = i;
+            mModes[i] = LogMode.UP;
+            mEndpoints.add(
+                    HttpEndpoint.create(
+                            "log-" + i,
+                            host,
+                            ports.get(i),
+                            MOST_BODY_BYTES,
+                            in -> handle(listener, in)));
+        }
+    }
+
+    /** Makes a log that listens on the given ports. */
+    public static LogStandin create(String host, List<Integer> ports, long retentionMs) {
+        return new LogStandin(host, ports, retentionMs);
+    }
+
+    @Override
+    public void start() throws IOException {
+        for (HttpEndpoint endpoint : mEndpoints) {
+            endpoint.start();
+        }
+    }
+
+    @Override
+    public void stop() {
+        mEndpoints.forEach(HttpEndpoint::stop);
+        mDelays.shutdownNow();
+    }
+
+    private void handle(int listener, HttpIn in) {
+        if (in.path().equals("/control")) {
+            control(in);
+        } else if (in.path().equals("/stats")) {
+            in.reply(OK, "{\"appends\":" + mAppends + ",\"reads\":" + mReads + "}");
+        } else if (mModes[listener] == LogMode.SLOW) {
+            mDelays.schedule(() -> serve(listener, in), mSlowMs, TimeUnit.MILLISECONDS);
+        } else {
+            serve(listener, in);
+        }
+    }
+
+    private void control(HttpIn in) {
+        try {
+            LogMode mode = LogMode.valueOf(in.query("mode").orElse("UP"));
+            mSlowMs = Long.parseLong(in.query("slowMs").orElse("500"));
+            int listener = Integer.parseInt(in.query("listener").orElse("-1"));
+            for (int i = 0; i < mModes.length; i++) {
+                if (listener < 0 || listener == i) {
+                    mModes[i] = mode;
+                }
+            }
+            in.reply(OK, "{}");
+        } catch (IllegalArgumentException e) {
+            in.reply(BAD_REQUEST, "{\"error\":\"bad control\"}");
+        }
+    }
+
+    private synchronized void serve(int listener, HttpIn in) {
+        LogMode mode = mModes[listener];
+        if (!mode.appends()) {
+            in.drop();
+            return;
+        }
+        expire();
+        if (in.path().equals("/append")) {
+            mAppends++;
+            mRecords.add(new LogPage.Item(mNext++, System.currentTimeMillis(), in.text()));
+            answer(mode, in, "{\"offset\":" + (mNext - 1) + "}");
+        } else if (in.path().equals("/read")) {
+            mReads++;
+            answer(mode, in, PlatformJson.write(page(from(in))));
+        } else {
+            in.reply(NOT_FOUND, "{\"error\":\"no such path\"}");
+        }
+    }
+
+    private static long from(HttpIn in) {
+        try {
+            return Long.parseLong(in.query("from").orElse("0"));
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    private static void answer(LogMode mode, HttpIn in, String json) {
+        if (mode.replies()) {
+            in.reply(OK, json);
+        } else {
+            in.drop();
+        }
+    }
+
+    private void expire() {
+        long oldest = System.currentTimeMillis() - mRetentionMs;
+        while (!mRecords.isEmpty() && mRecords.peek().atMs() < oldest) {
+            mRecords.poll();
+        }
+    }
+
+    private LogPage page(long from) {
+        List<LogPage.Item> items = new ArrayList<>();
+        for (LogPage.Item item : mRecords) {
+            if (item.offset() >= from && items.size() < PAGE_RECORDS) {
+                items.add(item);
+            }
+        }
+        long first = mRecords.isEmpty() ? mNext : mRecords.peek().offset();
+        long next = items.isEmpty() ? mNext : items.get(items.size() - 1).offset() + 1;
+        return new LogPage(first, next, mNext, System.currentTimeMillis(), mRetentionMs, items);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/boragegap/standin/LoopbackPorts.java
@@ -0,0 +1,41 @@
+package org.boragegap.standin;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Finds free ports on loopback.
+ *
+ * <p>They lie below the range from which the system takes ports for outgoing connections, since one
+ * of those could take a port between the look and its use.
+ */
+public final class LoopbackPorts {
+    private static final int FIRST = 10_000;
+    private static final int COUNT = 20_000;
+    private static final int STRIDE = 211;
+    private static final AtomicInteger sNext =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * STRIDE % COUNT));
+
+    private LoopbackPorts() {}
+
+    /** A port that was free a moment ago, and that this process hasn't given out yet. */
+    public static int next() throws IOException {
+        for (int tries = 0; tries < COUNT; tries++) {
+            int port = FIRST + Math.floorMod(sNext.getAndIncrement(), COUNT);
+            if (isFree(port)) {
+                return port;
+            }
+        }
+        throw new IOException("no free port from " + FIRST + " to " + (FIRST + COUNT));
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return socket.isBound();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/boragegap/standin/TargetStandin.java
@@ -0,0 +1,257 @@
+package org.boragegap.standin;
+
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.boragegap.core.job.Need;
+import org.boragegap.core.job.RefusalCause;
+import org.boragegap.core.placement.Role;
+import org.boragegap.http.HttpEndpoint;
+import org.boragegap.http.HttpIn;
+import org.boragegap.platform.PlatformException;
+import org.boragegap.platform.PlatformJson;
+import org.boragegap.platform.TaskOrder;
+import org.boragegap.platform.TaskReport;
+
+/**
+ * Stands in for a worker or a minion: runs a task by waiting as long as its payload says.
+ *
+ * <p>A worker starts what it is given, whether it fits or not, and everything on it slows down in
+ * proportion. A minion runs as many as it has slots; more of them wait in its own queue.
+ */
+public final class TargetStandin implements Standin {
+    private static final int MOST_BODY_BYTES = 1024 * 1024;
+    private static final int OK = 200;
+    private static final int REFUSED = 409;
+    private static final int FAILED = 500;
+    private static final int BAD_REQUEST = 400;
+
+    private record Running(HttpIn in, TaskOrder order, TaskPayload payload, long startedMs) {}
+
+    private final HttpEndpoint mEndpoint;
+    private final Role mRole;
+    private final Need mCapacity;
+    private final int mSlots;
+    private final ScheduledExecutorService mTimer;
+    private final Map<String, AtomicInteger> mStarts = new ConcurrentHashMap<>();
+    private final Map<String, ScheduledFuture<?>> mEnds = new ConcurrentHashMap<>();
+    private final Map<String, Running> mRunning = new ConcurrentHashMap<>();
+    private final Deque<Running> mQueue = new ArrayDeque<>();
+    private final AtomicInteger mTotalStarts = new AtomicInteger();
+    private volatile TargetMode mMode = TargetMode.NORMAL;
+    private int mUsedSlots;
+    private int mUsedCpuMillis;
+    private int mMostSlots;
+
+    private TargetStandin(
+            String host,
+            int port,
+            Role role,
+            Need capacity,
+            int slots,
+            ScheduledExecutorService timer) {
+        mEndpoint =
+                HttpEndpoint.create("target-" + port, host, port, MOST_BODY_BYTES, this::handle);
+        mRole = role;
+        mCapacity = capacity;
+        mSlots = slots;
+        mTimer = timer;
+    }
+
+    /** Makes a worker. */
+    public static TargetStandin worker(
+            String host, int port, Need capacity, int slots, ScheduledExecutorService timer) {
+        return new TargetStandin(host, port, Role.WORKER, capacity, slots, timer);
+    }
+
+    /** Makes a minion. */
+    public static TargetStandin minion(
+            String host, int port, int slots, ScheduledExecutorService timer) {
+        return new TargetStandin(host, port, Role.MINION, Need.NONE, slots, timer);
+    }
+
+    @Override
+    public void start() throws IOException {
+        mEndpoint.start();
+    }
+
+    @Override
+    public void stop() {
+        mEndpoint.stop();
+    }
+
+    /** Changes how it behaves from now on. */
+    public void mode(TargetMode mode) {
+        mMode = mode;
+    }
+
+    /** Starts so far, by submission and index. */
+    public Map<String, AtomicInteger> starts() {
+        return mStarts;
+    }
+
+    private void handle(HttpIn in) {
+        String route = in.method() + " " + in.path();
+        switch (route) {
+            case "POST /tasks" -> order(in);
+            case "DELETE /tasks" -> cancel(in);
+            case "GET /load" -> in.reply(OK, "text/plain", Map.of(), Double.toString(load()));
+            case "GET /starts" -> in.reply(OK, PlatformJson.write(mStarts));
+            case "GET /stats" -> in.reply(OK, stats());
+            case "POST /control" -> control(in);
+            default -> in.reply(BAD_REQUEST, "{\"error\":\"no such path\"}");
+        }
+    }
+
+    private synchronized double load() {
+        return mRole == Role.WORKER
+                ? (double) mUsedCpuMillis / Math.max(1, mCapacity.cpuMillis())
+                : (double) (mUsedSlots + mQueue.size()) / mSlots;
+    }
+
+    private synchronized String stats() {
+        return "{\"starts\":" + mTotalStarts.get() + ",\"mostSlots\":" + mMostSlots + "}";
+    }
+
+    private void control(HttpIn in) {
+        try {
+            mMode = TargetMode.valueOf(in.query("mode").orElse("NORMAL"));
+            in.reply(OK, "{}");
+        } catch (IllegalArgumentException e) {
+            in.reply(BAD_REQUEST, "{\"error\":\"no such mode\"}");
+        }
+    }
+
+    private void order(HttpIn in) {
+        TaskOrder order;
+        TaskPayload payload;
+        try {
+            order = PlatformJson.read(in.text(), TaskOrder.class);
+            payload = PlatformJson.read(order.payload(), TaskPayload.class);
+        } catch (PlatformException e) {
+            in.reply(BAD_REQUEST, "{\"error\":\"not a task\"}");
+            return;
+        }
+        if (!mMode.starts()) {
+            RefusalCause cause =
+                    mMode == TargetMode.BUSY ? RefusalCause.BUSY : RefusalCause.LEAVING;
+            refuse(in, order, cause);
+        } else if (System.currentTimeMillis() > order.startByWallMs()) {
+            refuse(in, order, RefusalCause.TOO_LATE);
+        } else {
+            accept(new Running(in, order, payload, System.nanoTime() / 1_000_000));
+        }
+    }
+
+    private static void refuse(HttpIn in, TaskOrder order, RefusalCause cause) {
+        TaskReport report =
+                new TaskReport(order.submission(), order.index(), null, 0, Need.NONE, cause, null);
+        in.reply(REFUSED, PlatformJson.write(report));
+    }
+
+    private synchronized void accept(Running task) {
+        if (mRole == Role.MINION && mUsedSlots >= mSlots) {
+            mQueue.add(task);
+            return;
+        }
+        run(task);
+    }
+
+    private void run(Running task) {
+        TaskOrder order = task.order();
+        mTotalStarts.incrementAndGet();
+        mStarts.computeIfAbsent(
+                        order.submission() + "/" + order.index(), key -> new AtomicInteger())
+                .incrementAndGet();
+        mUsedSlots++;
+        mMostSlots = Math.max(mMostSlots, mUsedSlots);
+        mUsedCpuMillis += cpuMillis(task);
+        TargetMode mode = mMode;
+        if (mode == TargetMode.DROP) {
+            end(task, mode);
+            return;
+        }
+        if (mode == TargetMode.FREEZE) {
+            return;
+        }
+        long runMs = mode == TargetMode.FAIL_ALL ? 0 : slowed(task.payload().runMs());
+        mRunning.put(key(task), task);
+        mEnds.put(key(task), mTimer.schedule(() -> end(task, mode), runMs, TimeUnit.MILLISECONDS));
+    }
+
+    private static String key(Running task) {
+        return task.order().owner() + "/" + task.order().attempt();
+    }
+
+    private static int cpuMillis(Running task) {
+        int declared = task.order().need().cpuMillis();
+        return task.payload().cpuMillis() == 0 ? declared : task.payload().cpuMillis();
+    }
+
+    private long slowed(long runMs) {
+        if (mRole == Role.MINION || mUsedCpuMillis <= mCapacity.cpuMillis()) {
+            return runMs;
+        }
+        return runMs * mUsedCpuMillis / mCapacity.cpuMillis();
+    }
+
+    private void end(Running task, TargetMode mode) {
+        mEnds.remove(key(task));
+        mRunning.remove(key(task));
+        free(task);
+        reply(task, mode);
+    }
+
+    private synchronized void free(Running task) {
+        mUsedSlots--;
+        mUsedCpuMillis -= cpuMillis(task);
+        if (!mQueue.isEmpty()) {
+            run(mQueue.poll());
+        }
+    }
+
+    private static void reply(Running task, TargetMode mode) {
+        HttpIn in = task.in();
+        TaskOrder order = task.order();
+        long tookMs = System.nanoTime() / 1_000_000 - task.startedMs();
+        Need used = new Need(cpuMillis(task), order.need().memoryMb(), 0);
+        switch (mode) {
+            case DROP -> in.drop();
+            case FAIL_ALL -> in.reply(FAILED, report(order, null, 0, used, "it failed"));
+            case CUT_SHORT -> {
+                String whole = report(order, task.payload().result(), tookMs, used, null);
+                in.reply(OK, whole.substring(0, whole.length() / 2));
+            }
+            case MIX_UP ->
+                    in.reply(
+                            OK,
+                            PlatformJson.write(
+                                    new TaskReport("other", 0, "theirs", 1, used, null, null)));
+            default -> in.reply(OK, report(order, task.payload().result(), tookMs, used, null));
+        }
+    }
+
+    private static String report(
+            TaskOrder order, String result, long tookMs, Need used, String error) {
+        return PlatformJson.write(
+                new TaskReport(
+                        order.submission(), order.index(), result, tookMs, used, null, error));
+    }
+
+    private void cancel(HttpIn in) {
+        String key = in.query("owner").orElse("") + "/" + in.query("attempt").orElse("");
+        ScheduledFuture<?> ending = mEnds.remove(key);
+        Running task = mRunning.remove(key);
+        if (ending != null && task != null && ending.cancel(false)) {
+            free(task);
+            task.in().reply(FAILED, report(task.order(), null, 0, Need.NONE, "stopped"));
+        }
+        in.reply(OK, "{}");
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/boragegap/standin/VmListStandin.java
@@ -0,0 +1,89 @@
+package org.boragegap.standin;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.boragegap.http.HttpEndpoint;
+import org.boragegap.http.HttpIn;
+import org.boragegap.platform.PlatformException;
+import org.boragegap.platform.PlatformJson;
+import org.boragegap.platform.VmList;
+
+/** Stands in for the platform's list of VMs; a change shows after a lag. */
+public final class VmListStandin implements Standin {
+    private static final int MOST_BODY_BYTES = 4 * 1024 * 1024;
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+
+    private final List<HttpEndpoint> mEndpoints = new ArrayList<>();
+    private final boolean[] mDown;
+    private final long mLagMs;
+    private final ScheduledExecutorService mDelays = Executors.newSingleThreadScheduledExecutor();
+    private volatile VmList mShown;
+
+    private VmListStandin(String host, List<Integer> ports, long lagMs, VmList first) {
+        mLagMs = lagMs;
+        mShown = first;
+        mDown = new boolean[ports.size()];
+        for (int i = 0; i < ports.size(); i++) {
+            int listener = i;
+            mEndpoints.add(
+                    HttpEndpoint.create(
+                            "vms-" + i,
+                            host,
+                            ports.get(i),
+                            MOST_BODY_BYTES,
+                            in -> handle(listener, in)));
+        }
+    }
+
+    /** Makes a list that listens on the given ports. */
+    public static VmListStandin create(String host, List<Integer> ports, long lagMs, VmList first) {
+        return new VmListStandin(host, ports, lagMs, first);
+    }
+
+    @Override
+    public void start() throws IOException {
+        for (HttpEndpoint endpoint : mEndpoints) {
+            endpoint.start();
+        }
+    }
+
+    @Override
+    public void stop() {
+        mEndpoints.forEach(HttpEndpoint::stop);
+        mDelays.shutdownNow();
+    }
+
+    private void handle(int listener, HttpIn in) {
+        if (in.path().equals("/control")) {
+            boolean down = in.query("down").map(Boolean::parseBoolean).orElse(false);
+            int chosen = Integer.parseInt(in.query("listener").orElse("-1"));
+            for (int i = 0; i < mDown.length; i++) {
+                if (chosen < 0 || chosen == i) {
+                    mDown[i] = down;
+                }
+            }
+            in.reply(OK, "{}");
+        } else if (in.method().equals("POST")) {
+            change(in);
+        } else if (mDown[listener]) {
+            in.drop();
+        } else {
+            in.reply(OK, PlatformJson.write(mShown));
+        }
+    }
+
+    private void change(HttpIn in) {
+        try {
+            VmList list = PlatformJson.read(in.text(), VmList.class);
+            mDelays.schedule(() -> mShown = list, mLagMs, TimeUnit.MILLISECONDS);
+            in.reply(OK, "{}");
+        } catch (PlatformException e) {
+            in.reply(BAD_REQUEST, "{\"error\":\"not a list of VMs\"}");
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/boragegap/wire/FrameFilter.java
@@ -0,0 +1,79 @@
+package org.boragegap.wire;
+
+import java.io.IOException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.memory.MemoryManager;
+
+/**
+ * Frames on a byte stream: a length of four bytes, then that many bytes of MessagePack.
+ *
+ * <p>A frame that lies about its length or can't be decoded ends its connection; the process and
+ * the other connections go on.
+ */
+final class FrameFilter extends BaseFilter {
+    static final int MOST_BYTES = 16 * 1024 * 1024;
+    private static final int HEADER_BYTES = Integer.BYTES;
+    private static final Logger sLog = LogManager.getLogger(FrameFilter.class);
+
+    private final PeerCodec mCodec;
+
+    FrameFilter(PeerCodec codec) {
+        mCodec = codec;
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext context) throws IOException {
+        Buffer input = context.getMessage();
+        if (input.remaining() < HEADER_BYTES) {
+            return context.getStopAction(input);
+        }
+        int length = input.getInt(input.position());
+        if (length <= 0 || length > MOST_BYTES) {
+            return reject(context, "frame length " + length + " is not in 1.." + MOST_BYTES);
+        }
+        if (input.remaining() < HEADER_BYTES + length) {
+            return context.getStopAction(input);
+        }
+        int end = input.position() + HEADER_BYTES + length;
+        Buffer rest = input.limit() > end ? input.split(end) : null;
+        input.getInt();
+        byte[] bytes = new byte[length];
+        input.get(bytes);
+        input.tryDispose();
+        try {
+            context.setMessage(mCodec.decode(bytes));
+        } catch (WireException e) {
+            return reject(context, e.getMessage());
+        }
+        return context.getInvokeAction(rest);
+    }
+
+    private static NextAction reject(FilterChainContext context, String reason) {
+        sLog.warn("closing peer connection {}: {}", context.getAddress(), reason);
+        context.getConnection().closeSilently();
+        return context.getStopAction();
+    }
+
+    @Override
+    public NextAction handleWrite(FilterChainContext context) throws IOException {
+        byte[] bytes;
+        try {
+            bytes = mCodec.encode(context.getMessage());
+        } catch (WireException e) {
+            throw new IOException(e);
+        }
+        MemoryManager<?> memory = context.getMemoryManager();
+        Buffer frame = memory.allocate(HEADER_BYTES + bytes.length);
+        frame.putInt(bytes.length);
+        frame.put(bytes);
+        frame.flip();
+        frame.allowBufferDispose(true);
+        context.setMessage(frame);
+        return context.getInvokeAction();
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/boragegap/wire/PeerCodec.java
@@ -0,0 +1,66 @@
+package org.boragegap.wire;
+
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.jsontype.NamedType;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import org.boragegap.core.claim.ClaimMessage;
+import org.boragegap.core.job.Answer;
+import org.boragegap.core.placement.LoanMessage;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/** Turns peer messages into MessagePack and back. */
+public final class PeerCodec {
+
+    /** Names the type of a message by its simple class name in the field {@code t}. */
+    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+    private interface TypeByName {}
+
+    private final ObjectMapper mMapper;
+
+    private PeerCodec(ObjectMapper mapper) {
+        mMapper = mapper;
+    }
+
+    /** Makes a codec; it may be shared by threads. */
+    public static PeerCodec create() {
+        ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+        mapper.registerModule(new Jdk8Module());
+        nameTypes(mapper, PeerMessage.class);
+        nameTypes(mapper, ClaimMessage.class);
+        nameTypes(mapper, Answer.class);
+        nameTypes(mapper, LoanMessage.class);
+        return new PeerCodec(mapper);
+    }
+
+    private static void nameTypes(ObjectMapper mapper, Class<?> sealedType) {
+        mapper.addMixIn(sealedType, TypeByName.class);
+        for (Class<?> type : sealedType.getPermittedSubclasses()) {
+            mapper.registerSubtypes(new NamedType(type, type.getSimpleName()));
+        }
+    }
+
+    /** Encodes a message. */
+    public byte[] encode(PeerMessage message) throws WireException {
+        try {
+            return mMapper.writerFor(PeerMessage.class).writeValueAsBytes(message);
+        } catch (JsonProcessingException e) {
+            throw new WireException("message can't be encoded", e);
+        }
+    }
+
+    /** Decodes a message. */
+    public PeerMessage decode(byte[] bytes) throws WireException {
+        try {
+            PeerMessage message = mMapper.readValue(bytes, PeerMessage.class);
+            if (message == null) {
+                throw new WireException("frame holds no message", null);
+            }
+            return message;
+        } catch (IOException e) {
+            throw new WireException("frame can't be decoded", e);
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/boragegap/wire/PeerLink.java
@@ -0,0 +1,159 @@
+package org.boragegap.wire;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/**
+ * The outgoing connection to one peer, opened when first needed.
+ *
+ * <p>A connection can go silent for good while new ones work: something between the two ends has
+ * lost track of it. It shows as pings without a pong; the connection is closed then, what waited on
+ * it is reported lost, and the next message opens a new one.
+ */
+final class PeerLink {
+    private static final long PONG_WITHIN_MS = 2_000;
+    private static final int MOST_WAITING = 10_000;
+    private static final long CONNECT_WITHIN_MS = 1_000;
+
+    private final String mAddress;
+    private final TCPNIOTransport mTransport;
+    private final PeerListener mListener;
+    private final Deque<PeerMessage> mWaiting = new ArrayDeque<>();
+    private final Map<Long, PeerMessage.Forward> mUnanswered = new HashMap<>();
+    private Connection<?> mConnection;
+    private boolean mConnecting;
+    private long mConnectingSinceMs;
+    private long mPingedMs;
+    private boolean mPongDue;
+
+    PeerLink(String address, TCPNIOTransport transport, PeerListener listener) {
+        mAddress = address;
+        mTransport = transport;
+        mListener = listener;
+    }
+
+    synchronized boolean owns(Connection<?> connection) {
+        return mConnection == connection;
+    }
+
+    void send(PeerMessage message) {
+        boolean dropped = false;
+        synchronized (this) {
+            if (mConnection != null && mConnection.isOpen()) {
+                write(message);
+                return;
+            }
+            if (mWaiting.size() < MOST_WAITING) {
+                mWaiting.add(message);
+            } else {
+                dropped = true;
+            }
+            connect();
+        }
+        if (dropped) {
+            mListener.onLost(mAddress, message, false);
+        }
+    }
+
+    private void write(PeerMessage message) {
+        if (message instanceof PeerMessage.Forward forward) {
+            mUnanswered.put(forward.forwardId(), forward);
+        }
+        mConnection.write(message);
+    }
+
+    private void connect() {
+        if (mConnecting) {
+            return;
+        }
+        mConnecting = true;
+        mConnectingSinceMs = System.nanoTime() / 1_000_000;
+        mTransport.connect(
+                PeerTransport.parse(mAddress),
+                new EmptyCompletionHandler<>() {
+                    @Override
+                    @SuppressWarnings("rawtypes")
+                    public void completed(Connection connection) {
+                        onConnected(connection);
+                    }
+
+                    @Override
+                    public void failed(Throwable cause) {
+                        onConnectFailed();
+                    }
+                });
+    }
+
+    private synchronized void onConnected(Connection<?> connection) {
+        mConnecting = false;
+        mConnection = connection;
+        mPongDue = false;
+        while (!mWaiting.isEmpty()) {
+            write(mWaiting.poll());
+        }
+    }
+
+    private void onConnectFailed() {
+        List<PeerMessage> lost;
+        synchronized (this) {
+            mConnecting = false;
+            lost = new ArrayList<>(mWaiting);
+            mWaiting.clear();
+        }
+        for (PeerMessage message : lost) {
+            mListener.onLost(mAddress, message, false);
+        }
+    }
+
+    void onAnswer(PeerMessage message) {
+        synchronized (this) {
+            mPongDue = false;
+            if (message instanceof PeerMessage.ForwardAnswer answer) {
+                mUnanswered.remove(answer.forwardId());
+            }
+        }
+        if (!(message instanceof PeerMessage.Pong)) {
+            mListener.onMessage(0, message);
+        }
+    }
+
+    void onClosed() {
+        List<PeerMessage> lost;
+        synchronized (this) {
+            mConnection = null;
+            lost = new ArrayList<>(mUnanswered.values());
+            mUnanswered.clear();
+        }
+        for (PeerMessage message : lost) {
+            mListener.onLost(mAddress, message, true);
+        }
+    }
+
+    void probe(long nowMs) {
+        Connection<?> silent = null;
+        boolean stuck;
+        synchronized (this) {
+            stuck = mConnecting && nowMs - mConnectingSinceMs > CONNECT_WITHIN_MS;
+            if (mConnection != null && mPongDue && nowMs - mPingedMs > PONG_WITHIN_MS) {
+                silent = mConnection;
+            } else if (mConnection != null && !mPongDue) {
+                mPongDue = true;
+                mPingedMs = nowMs;
+                mConnection.write(new PeerMessage.Ping());
+            }
+        }
+        if (stuck) {
+            onConnectFailed();
+        }
+        if (silent != null) {
+            silent.closeSilently();
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/boragegap/wire/PeerMessage.java
@@ -0,0 +1,85 @@
+package org.boragegap.wire;
+
+import java.util.Optional;
+import org.boragegap.core.bundle.Bundle;
+import org.boragegap.core.claim.ClaimMessage;
+import org.boragegap.core.claim.Member;
+import org.boragegap.core.job.Answer;
+import org.boragegap.core.job.Submission;
+import org.boragegap.core.job.SubmissionId;
+import org.boragegap.core.placement.LoanMessage;
+
+/** One frame between two entry VMs. */
+public sealed interface PeerMessage {
+
+    /**
+     * About claims and views.
+     *
+     * @param from the sender
+     * @param message what it says
+     */
+    record Claims(Member from, ClaimMessage message) implements PeerMessage {}
+
+    /**
+     * About room on targets.
+     *
+     * @param from peer address of the sender
+     * @param message what it says
+     */
+    record Loans(String from, LoanMessage message) implements PeerMessage {}
+
+    /**
+     * Hands a submission over; the answer comes back on the same connection.
+     *
+     * @param forwardId names the forward within the sender
+     * @param submission the submission
+     * @param hops how often it was forwarded
+     */
+    record Forward(long forwardId, Submission submission, int hops) implements PeerMessage {}
+
+    /**
+     * Answers a forwarded submission.
+     *
+     * @param forwardId the forward
+     * @param answer the answer
+     */
+    record ForwardAnswer(long forwardId, Answer answer) implements PeerMessage {}
+
+    /**
+     * Passes a cancellation on.
+     *
+     * @param id the submission
+     * @param hops how often it was forwarded
+     */
+    record Cancel(SubmissionId id, int hops) implements PeerMessage {}
+
+    /**
+     * Tells which bundle the sender has in force.
+     *
+     * @param bundle the bundle
+     */
+    record BundleIs(Bundle bundle) implements PeerMessage {}
+
+    /**
+     * Asks for the state of a submission.
+     *
+     * @param questionId names the question within the sender
+     * @param id the submission
+     */
+    record Ask(long questionId, SubmissionId id) implements PeerMessage {}
+
+    /**
+     * Tells the state of a submission.
+     *
+     * @param questionId the question
+     * @param known whether the sender holds it
+     * @param answer its answer, if it has one
+     */
+    record Told(long questionId, boolean known, Optional<Answer> answer) implements PeerMessage {}
+
+    /** Asks for a {@link Pong} on the same connection. */
+    record Ping() implements PeerMessage {}
+
+    /** Shows that the connection still works. */
+    record Pong() implements PeerMessage {}
+}
