--- /dev/null
+++ b/wire/src/main/java/org/boragegap/wire/PeerTransport.java
@@ -0,0 +1,158 @@
+package org.boragegap.wire;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/**
+ * Connections among entry VMs: one for each direction.
+ *
+ * <p>An answer goes back over the connection on which the question came, so either side that loses
+ * the connection knows that the answer will not come.
+ */
+public final class PeerTransport {
+    private static final Logger sLog = LogManager.getLogger(PeerTransport.class);
+    private static final int SELECTORS = 2;
+
+    private final String mBindHost;
+    private final int mBindPort;
+    private final PeerListener mListener;
+    private final TCPNIOTransport mTransport;
+    private final Map<String, PeerLink> mLinks = new ConcurrentHashMap<>();
+    private final Map<Long, Connection<?>> mInbound = new ConcurrentHashMap<>();
+    private final Map<Connection<?>, Long> mInboundIds = new ConcurrentHashMap<>();
+    private final AtomicLong mNextInbound = new AtomicLong(1);
+
+    private PeerTransport(String host, int port, PeerListener listener) {
+        mBindHost = host;
+        mBindPort = port;
+        mListener = listener;
+        FilterChainBuilder chain = FilterChainBuilder.stateless();
+        chain.add(new TransportFilter());
+        chain.add(new FrameFilter(PeerCodec.create()));
+        chain.add(new MessageFilter());
+        mTransport =
+                TCPNIOTransportBuilder.newInstance()
+                        .setIOStrategy(SameThreadIOStrategy.getInstance())
+                        .setSelectorThreadPoolConfig(
+                                ThreadPoolConfig.defaultConfig()
+                                        .setPoolName("peer")
+                                        .setCorePoolSize(SELECTORS)
+                                        .setMaxPoolSize(SELECTORS))
+                        .setSelectorRunnersCount(SELECTORS)
+                        .setTcpNoDelay(true)
+                        .setReuseAddress(true)
+                        .setProcessor(chain.build())
+                        .build();
+    }
+
+    /** Makes a transport that will listen at the given address. */
+    public static PeerTransport create(String host, int port, PeerListener listener) {
+        return new PeerTransport(host, port, listener);
+    }
+
+    /** Starts listening. */
+    public void start() throws IOException {
+        mTransport.bind(mBindHost, mBindPort);
+        mTransport.start();
+    }
+
+    /** Closes all connections. */
+    public void stop() {
+        try {
+            mTransport.shutdownNow();
+        } catch (IOException e) {
+            sLog.warn("peer transport did not stop cleanly: {}", e.getMessage());
+        }
+    }
+
+    /** Sends to the entry VM at a peer address; a failure is told to the listener. */
+    public void send(String address, PeerMessage message) {
+        mLinks.computeIfAbsent(address, this::newLink).send(message);
+    }
+
+    private PeerLink newLink(String address) {
+        return new PeerLink(address, mTransport, mListener);
+    }
+
+    /** Sends back over the connection on which a message came; dropped if it is closed. */
+    public void answer(long link, PeerMessage message) {
+        Connection<?> connection = mInbound.get(link);
+        if (connection != null && connection.isOpen()) {
+            connection.write(message);
+        }
+    }
+
+    /** Checks all outgoing connections; to be called about once a second. */
+    public void probe(long nowMs) {
+        mLinks.values().forEach(link -> link.probe(nowMs));
+    }
+
+    /** Reads {@code host:port}. */
+    public static InetSocketAddress parse(String address) {
+        int colon = address.lastIndexOf(':');
+        String host = address.substring(0, colon);
+        return new InetSocketAddress(host, Integer.parseInt(address.substring(colon + 1)));
+    }
+
+    private final class MessageFilter extends BaseFilter {
+        @Override
+        public NextAction handleAccept(FilterChainContext context) throws IOException {
+            long id = mNextInbound.getAndIncrement();
+            mInbound.put(id, context.getConnection());
+            mInboundIds.put(context.getConnection(), id);
+            return context.getInvokeAction();
+        }
+
+        @Override
+        public NextAction handleRead(FilterChainContext context) throws IOException {
+            PeerMessage message = context.getMessage();
+            Connection<?> connection = context.getConnection();
+            Long inbound = mInboundIds.get(connection);
+            if (inbound == null) {
+                onAnswer(connection, message);
+            } else if (message instanceof PeerMessage.Ping) {
+                connection.write(new PeerMessage.Pong());
+            } else {
+                mListener.onMessage(inbound, message);
+            }
+            return context.getStopAction();
+        }
+
+        private void onAnswer(Connection<?> connection, PeerMessage message) {
+            for (PeerLink link : mLinks.values()) {
+                if (link.owns(connection)) {
+                    link.onAnswer(message);
+                    return;
+                }
+            }
+        }
+
+        @Override
+        public NextAction handleClose(FilterChainContext context) throws IOException {
+            Connection<?> connection = context.getConnection();
+            Long inbound = mInboundIds.remove(connection);
+            if (inbound != null) {
+                mInbound.remove(inbound);
+            }
+            mLinks.values().stream()
+                    .filter(link -> link.owns(connection))
+                    .forEach(PeerLink::onClosed);
+            return context.getInvokeAction();
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/boragegap/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Frames and MessagePack codecs between the system's own processes. */
+package org.boragegap.wire;
