Claims: histories with failures found four ways to start a task twice; mended

A reader that had missed records chained on from its old head. A statement now says up to which offset its author had read, and is a base only for a reader that has every record after it. 3. Also: members learn the age of a statement from peers by an echoed clock, so a message that lay in a queue makes nothing look younger.

--- a/core/src/main/java/org/boragegap/core/claim/ClaimLimits.java
+++ b/core/src/main/java/org/boragegap/core/claim/ClaimLimits.java
@@ -20,7 +20,7 @@
 
     /** Limits that fit today's deployments. */
     public static ClaimLimits defaults() {
-        return new ClaimLimits(300_000, 1_000, 1_500, 200, 2_000, 3_600_000);
+        return new ClaimLimits(300_000, 1_000, 4_000, 200, 1_000, 3_600_000);
     }
 
     /** How long a claim is kept: the window, and what clocks may be apart on both sides of it. */
--- a/core/src/main/java/org/boragegap/core/claim/ClaimMessage.java
+++ b/core/src/main/java/org/boragegap/core/claim/ClaimMessage.java
@@ -44,8 +44,16 @@
      *
      * @param view the sender's view
      * @param complete whether the sender holds all claims that the view covers
+     * @param statedAgeMs how long ago the view was last stated on the log, as the sender knows
+     * @param sentMs the sender's monotonic time
+     * @param echoMs the receiver's own time in the last message that the sender had from it; {@link
+     *     #NO_ECHO} if there was none
      */
-    record ViewIs(DomainView view, boolean complete) implements ClaimMessage {}
+    record ViewIs(DomainView view, boolean complete, long statedAgeMs, long sentMs, long echoMs)
+            implements ClaimMessage {
+        /** For a sender that has heard nothing from the receiver yet. */
+        public static final long NO_ECHO = Long.MIN_VALUE;
+    }
 
     /** Asks for a place in the next view. */
     record Join() implements ClaimMessage {}
--- a/core/src/main/java/org/boragegap/core/claim/ClaimProtocol.java
+++ b/core/src/main/java/org/boragegap/core/claim/ClaimProtocol.java
@@ -123,8 +123,7 @@
         }
         long coverage = mViews.head().map(DomainView::coverageStartMs).orElse(0L);
         if (createdMs <= coverage) {
-            return Optional.of(
-                    new ClaimVerdict.Unknown("the id is older than this failure domain's memory"));
+            return Optional.of(olderThanMemory());
         }
         return Optional.empty();
     }
@@ -238,6 +237,12 @@
         }
         DomainView view = mViews.head().orElseThrow();
         if (pending.mWaitingFor.isEmpty()) {
+            Optional<ClaimVerdict> ruledOut = ruledOut(pending.mClaim, view);
+            if (ruledOut.isPresent()) {
+                mPending.remove(pending.mClaim.key());
+                out.add(new ClaimAction.Decide(pending.mClaim.key(), ruledOut.get()));
+                return;
+            }
             mTable.put(pending.mClaim, clock.monotonicMs());
             pending.mWaitingFor.addAll(view.members());
             pending.mWaitingFor.remove(mSelf);
@@ -252,34 +257,50 @@
         }
     }
 
+    /**
+     * What a new view has brought may speak against a claim that was wanted before: a claim by a
+     * member that is gone, or a memory that begins after the id was made.
+     */
+    private Optional<ClaimVerdict> ruledOut(Claim claim, DomainView view) {
+        if (claim.createdMs() <= view.coverageStartMs()) {
+            return Optional.of(olderThanMemory());
+        }
+        for (Claim other : mTable.find(claim.key())) {
+            boolean own = other.holder().equals(mSelf);
+            if (!own && !view.contains(other.holder())) {
+                return Optional.of(verdictOn(other, claim.fingerprint()));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static ClaimVerdict olderThanMemory() {
+        return new ClaimVerdict.Unknown("the id is older than this failure domain's memory");
+    }
+
     private void grant(Pending pending, List<ClaimAction> out) {
         ClaimKey key = pending.mClaim.key();
         mPending.remove(key);
         out.add(new ClaimAction.Decide(key, new ClaimVerdict.Granted()));
     }
 
+    /**
+     * Without everyone's acknowledgement it is never said that nothing was run: a later view,
+     * unknown here, may have started the submission a moment ago.
+     */
     private void timeOut(Pending pending, List<ClaimAction> out) {
         ClaimKey key = pending.mClaim.key();
         mPending.remove(key);
         giveUp(pending.mClaim, out);
-        // Only a view confirmed after the submission came rules out that a later view, unknown
-        // here, had already started it.
-        boolean confirmed = mViews.confirmedMs() > pending.mArrivedMs;
-        boolean rulesOut = confirmed && mViews.inView() && mViews.complete();
-        ClaimVerdict verdict =
-                rulesOut
-                        ? new ClaimVerdict.NotRun("a sibling VM did not answer in time")
-                        : new ClaimVerdict.Unknown("no agreement within this failure domain");
-        out.add(new ClaimAction.Decide(key, verdict));
+        String reason = "no agreement within this failure domain";
+        out.add(new ClaimAction.Decide(key, new ClaimVerdict.Unknown(reason)));
     }
 
     private void onRequest(
             Member from, ClaimMessage.Request request, ClockReading clock, List<ClaimAction> out) {
         boolean sameView = mViews.head().map(DomainView::uid).orElse(0L) == request.viewUid();
         if (!sameView || !mViews.usable(clock)) {
-            mViews.head()
-                    .map(view -> new ClaimMessage.ViewIs(view, mViews.complete()))
-                    .ifPresent(is -> out.add(new ClaimAction.Send(from.address(), is)));
+            mViews.tellView(from, clock, out);
             return;
         }
         Claim claim = request.claim();
--- a/core/src/main/java/org/boragegap/core/claim/ClaimVerdict.java
+++ b/core/src/main/java/org/boragegap/core/claim/ClaimVerdict.java
@@ -17,13 +17,6 @@
     /** The id was used with another body. */
     record Conflict() implements ClaimVerdict {}
 
-    /**
-     * Not claimed, and nobody else holds it.
-     *
-     * @param reason one line for the caller
-     */
-    record NotRun(String reason) implements ClaimVerdict {}
-
     /**
      * Not claimed here, but an earlier submission of the id can't be ruled out.
      *
--- a/core/src/main/java/org/boragegap/core/claim/LogBatch.java
+++ b/core/src/main/java/org/boragegap/core/claim/LogBatch.java
@@ -6,9 +6,10 @@
  * What one read of the log brought.
  *
  * @param views view records in log order, this failure domain's and others'
- * @param wholeHistory whether the log has been read from its very first record
+ * @param firstOffset offset from which on this reader has read everything without a gap
+ * @param nextOffset offset after the last record that was read
+ * @param nowMs the log's own time of the read
  * @param atEnd whether the read reached the end of the log
- * @param startedMs monotonic time at which the read was sent
  */
 public record LogBatch(
-        List<LoggedView> views, boolean wholeHistory, boolean atEnd, long startedMs) {}
+        List<LoggedView> views, long firstOffset, long nextOffset, long nowMs, boolean atEnd) {}
--- a/core/src/main/java/org/boragegap/core/claim/LoggedView.java
+++ b/core/src/main/java/org/boragegap/core/claim/LoggedView.java
@@ -3,8 +3,9 @@
 /**
  * A view record as read from the log.
  *
+ * @param offset its place in the log's order
  * @param record the record
  * @param appendedMs the log's own time of the append
  * @param ageMs how long before the read it was appended, by the log's clock
  */
-public record LoggedView(ViewRecord record, long appendedMs, long ageMs) {}
+public record LoggedView(long offset, ViewRecord record, long appendedMs, long ageMs) {}
--- a/core/src/main/java/org/boragegap/core/claim/ViewKeeper.java
+++ b/core/src/main/java/org/boragegap/core/claim/ViewKeeper.java
@@ -33,11 +33,12 @@
     private final Set<Member> mGone = new HashSet<>();
     private final Set<Member> mCompletePeers = new HashSet<>();
     private boolean mComplete;
+    private final Map<Member, Long> mSentMs = new HashMap<>();
     private boolean mSawAnyRecord;
     private boolean mWholeHistory;
     private boolean mReachedEnd;
-    private long mStatedMs;
-    private long mConfirmedMs = Long.MIN_VALUE;
+    private long mReadUpTo = -1;
+    private long mStatedMs = Long.MIN_VALUE / 2;
     private long mProposedMs = Long.MIN_VALUE / 2;
     private long mRestatedMs = Long.MIN_VALUE / 2;
     private long mHeartbeatMs = Long.MIN_VALUE / 2;
@@ -63,11 +64,6 @@
         return mComplete;
     }
 
-    /** Monotonic time at which the last read that reached the log's end was sent. */
-    long confirmedMs() {
-        return mConfirmedMs;
-    }
-
     /**
      * True when this member may claim and acknowledge.
      *
@@ -81,40 +77,42 @@
 
     /** Takes what the log brought; true when the head changed. */
     boolean onLog(LogBatch batch, ClockReading clock, List<ClaimAction> out) {
-        mWholeHistory = batch.wholeHistory();
-        boolean changed = false;
+        Optional<DomainView> before = head();
+        mWholeHistory = batch.firstOffset() == 0;
+        mLog.readFrom(batch.firstOffset(), batch.nowMs());
         for (LoggedView logged : batch.views()) {
-            changed |= onLogged(logged, clock);
-        }
-        if (batch.atEnd()) {
-            mReachedEnd = true;
-            mConfirmedMs = batch.startedMs();
+            onLogged(logged, clock);
         }
+        mReadUpTo = batch.nextOffset() - 1;
+        mReachedEnd = batch.atEnd();
+        boolean changed = head().isPresent() && !head().equals(before);
         if (changed) {
             onHeadChanged(clock, out);
         }
         return changed;
     }
 
-    private boolean onLogged(LoggedView logged, ClockReading clock) {
+    private void onLogged(LoggedView logged, ClockReading clock) {
         if (!logged.record().domain().equals(mDomain)) {
-            return false;
+            return;
         }
         mSawAnyRecord = true;
-        Optional<DomainView> before = head();
-        if (!mLog.apply(logged.record(), logged.appendedMs())) {
-            return false;
+        mLog.forgetBefore(logged.appendedMs() - mLimits.retentionMs());
+        if (mLog.apply(logged)) {
+            mStatedMs = clock.monotonicMs() - logged.ageMs();
         }
-        mStatedMs = clock.monotonicMs() - logged.ageMs();
-        return !before.equals(head());
     }
 
     /** Takes a peer's view; true when the head changed. */
     boolean onViewIs(
             Member from, ClaimMessage.ViewIs is, ClockReading clock, List<ClaimAction> out) {
+        mSentMs.put(from, is.sentMs());
         boolean changed = mLog.adopt(is.view());
         if (changed) {
-            mStatedMs = clock.monotonicMs();
+            mStatedMs = Long.MIN_VALUE / 2;
+        }
+        learnStatement(is);
+        if (changed) {
             onHeadChanged(clock, out);
         }
         boolean sameView = is.view().uid() == head().map(DomainView::uid).orElse(0L);
@@ -124,6 +122,31 @@
         return changed;
     }
 
+    /**
+     * A VM that is cut off from the log alone learns from its peers when the view was stated. The
+     * message may have lain in a queue while this process was paused; but it was made after the
+     * time of ours that it echoes, so reckoning from there never makes a statement look younger.
+     */
+    private void learnStatement(ClaimMessage.ViewIs is) {
+        boolean sameView = is.view().uid() == head().map(DomainView::uid).orElse(0L);
+        if (sameView && is.echoMs() != ClaimMessage.ViewIs.NO_ECHO) {
+            mStatedMs = Math.max(mStatedMs, is.echoMs() - is.statedAgeMs());
+        }
+    }
+
+    /** Tells a peer the view that is known here. */
+    void tellView(Member to, ClockReading clock, List<ClaimAction> out) {
+        head().ifPresent(view -> out.add(viewIs(view, to, clock)));
+    }
+
+    private ClaimAction viewIs(DomainView view, Member to, ClockReading clock) {
+        long statedAgeMs = clock.monotonicMs() - mStatedMs;
+        long echoMs = mSentMs.getOrDefault(to, ClaimMessage.ViewIs.NO_ECHO);
+        return new ClaimAction.Send(
+                to.address(),
+                new ClaimMessage.ViewIs(view, mComplete, statedAgeMs, clock.monotonicMs(), echoMs));
+    }
+
     private void onHeadChanged(ClockReading clock, List<ClaimAction> out) {
         DomainView view = head().orElseThrow();
         boolean founder = view.veterans().equals(List.of(mSelf)) && !mComplete;
@@ -136,7 +159,8 @@
             mHeardMs.put(member, clock.monotonicMs());
         }
         mHeardMs.keySet().retainAll(view.members());
-        if (inView() && view.members().get(0).equals(mSelf)) {
+        mSentMs.keySet().retainAll(view.members());
+        if (inView() && view.members().get(0).equals(mSelf) && mLog.headFromLog()) {
             restate(clock, out);
         }
         sendHeartbeat(clock, out);
@@ -181,10 +205,11 @@
     void onTick(ClockReading clock, List<ClaimAction> out) {
         forgiveOwnPause(clock);
         if (mReachedEnd && head().isEmpty()) {
+            mLog.forgetBefore(clock.wallMs() - mLimits.retentionMs() - mLimits.skewMs());
             bootstrap(clock, out);
         } else if (head().isPresent() && !(inView() && mComplete)) {
             seekPlace(clock, out);
-        } else if (head().isPresent()) {
+        } else if (usable(clock)) {
             tendView(clock, out);
         }
         if (clock.monotonicMs() - mHeartbeatMs >= heartbeatMs()) {
@@ -201,6 +226,9 @@
     }
 
     private void bootstrap(ClockReading clock, List<ClaimAction> out) {
+        if (!mLog.blank()) {
+            return;
+        }
         boolean first = mWholeHistory && !mSawAnyRecord;
         long coverage = first ? DomainView.COVERS_ALL : coverageFromNow(clock);
         List<Member> members = List.of(mSelf);
@@ -253,8 +281,9 @@
     private void tendView(ClockReading clock, List<ClaimAction> out) {
         DomainView view = head().orElseThrow();
         boolean oldStatement = clock.monotonicMs() - mStatedMs >= mLimits.restateMs();
+        boolean fromLog = mLog.headFromLog();
         boolean pause = clock.monotonicMs() - mRestatedMs >= mLimits.restateMs() / 8;
-        if (oldStatement && pause) {
+        if (oldStatement && pause && fromLog) {
             restate(clock, out);
         }
         Set<Member> next = nextMembers(view, clock);
@@ -339,14 +368,14 @@
             return;
         }
         mProposedMs = clock.monotonicMs();
-        ViewRecord record = new ViewRecord(mDomain, ViewRecord.Kind.PROPOSED, next);
-        out.add(new ClaimAction.Append(record));
+        out.add(new ClaimAction.Append(ViewRecord.proposal(mDomain, next)));
     }
 
     private void restate(ClockReading clock, List<ClaimAction> out) {
         mRestatedMs = clock.monotonicMs();
         DomainView view = head().orElseThrow();
-        out.add(new ClaimAction.Append(new ViewRecord(mDomain, ViewRecord.Kind.STATED, view)));
+        ViewRecord record = ViewRecord.statement(mDomain, view, mReadUpTo);
+        out.add(new ClaimAction.Append(record));
     }
 
     private long heartbeatMs() {
@@ -359,11 +388,14 @@
             return;
         }
         DomainView view = head().get();
-        ClaimMessage message =
-                inView() ? new ClaimMessage.ViewIs(view, mComplete) : new ClaimMessage.Join();
         for (Member member : view.members()) {
-            if (!member.address().equals(mSelf.address())) {
-                out.add(new ClaimAction.Send(member.address(), message));
+            if (member.address().equals(mSelf.address())) {
+                continue;
+            }
+            if (inView()) {
+                out.add(viewIs(view, member, clock));
+            } else {
+                out.add(new ClaimAction.Send(member.address(), new ClaimMessage.Join()));
             }
         }
     }
--- a/core/src/main/java/org/boragegap/core/dispatch/Intake.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/Intake.java
@@ -211,12 +211,6 @@
             onHeldElsewhere(waiting, held, out);
         } else if (verdict instanceof ClaimVerdict.Conflict) {
             mReplies.replyAll(waiting.mCallers, submission, Replies.conflict(), out);
-        } else if (verdict instanceof ClaimVerdict.NotRun refused) {
-            mReplies.replyAll(
-                    waiting.mCallers,
-                    submission,
-                    Replies.notRun(submission, refused.reason()),
-                    out);
         } else if (verdict instanceof ClaimVerdict.Unknown unknown) {
             Answer answer = Replies.unknown(submission, unknown.reason());
             mReplies.replyAll(waiting.mCallers, submission, answer, out);
--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/claim/ClaimProtocolTest.java
@@ -0,0 +1,170 @@
+package org.boragegap.core.claim;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.boragegap.core.ClockReading;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Focused cases of the claim protocol with two members, whose messages are handed over by hand. */
+final class ClaimProtocolTest {
+    private static final ClaimLimits LIMITS =
+            new ClaimLimits(60_000, 100, 4_000, 200, 1_000, 10_000);
+    private static final long WALL_MS = 1_000_000;
+    private static final Member A = new Member("a:1", 1);
+    private static final Member B = new Member("b:1", 1);
+    private static final DomainView BOTH =
+            new DomainView(WALL_MS, 7, DomainView.NO_PARENT, List.of(A, B), List.of(), 0);
+    private static final ClaimKey KEY = ClaimKey.of("job", WALL_MS);
+
+    private final ClaimProtocol mA = ClaimProtocol.create(A, "fd", LIMITS, () -> 1);
+    private final ClaimProtocol mB = ClaimProtocol.create(B, "fd", LIMITS, () -> 2);
+
+    ClaimProtocolTest() {
+        // Both were alone at first, so that they hold all claims of the view before.
+        install(mA, A);
+        install(mB, B);
+    }
+
+    private static ClockReading at(long ms) {
+        return new ClockReading(ms, WALL_MS + ms);
+    }
+
+    private static void install(ClaimProtocol protocol, Member self) {
+        DomainView alone =
+                new DomainView(WALL_MS - 1, 6, DomainView.NO_PARENT, List.of(self), List.of(), 0);
+        DomainView both = new DomainView(WALL_MS, 7, alone.uid(), BOTH.members(), List.of(), 0);
+        List<LoggedView> views =
+                List.of(
+                        new LoggedView(0, ViewRecord.proposal("fd", alone), WALL_MS, 0),
+                        new LoggedView(1, ViewRecord.proposal("fd", both), WALL_MS, 0));
+        for (LoggedView view : views) {
+            LogBatch batch = new LogBatch(List.of(view), 0, view.offset() + 1, WALL_MS, true);
+            protocol.onLog(batch, at(0), new ArrayList<>());
+        }
+    }
+
+    private static List<ClaimAction> wants(ClaimProtocol protocol, long ms) {
+        List<ClaimAction> out = new ArrayList<>();
+        protocol.want(KEY, WALL_MS, 5, at(ms), out);
+        return out;
+    }
+
+    /** Hands over what one member sent to the other; returns what the other does then. */
+    private static List<ClaimAction> carry(
+            Member from, ClaimProtocol to, List<ClaimAction> actions, long ms) {
+        List<ClaimAction> out = new ArrayList<>();
+        for (ClaimAction action : actions) {
+            if (action instanceof ClaimAction.Send send) {
+                to.onMessage(from, send.message(), at(ms), out);
+            }
+        }
+        return out;
+    }
+
+    private static List<ClaimVerdict> verdicts(List<ClaimAction> actions) {
+        List<ClaimVerdict> verdicts = new ArrayList<>();
+        for (ClaimAction action : actions) {
+            if (action instanceof ClaimAction.Decide decide) {
+                verdicts.add(decide.verdict());
+            }
+        }
+        return verdicts;
+    }
+
+    @Nested
+    final class Grants {
+        @Test
+        void aClaimIsGrantedWhenTheSiblingHasAcknowledgedIt() {
+            List<ClaimAction> asked = wants(mA, 10);
+            assertThat(verdicts(asked)).isEmpty();
+            List<ClaimAction> acknowledged = carry(A, mB, asked, 11);
+            assertThat(verdicts(carry(B, mA, acknowledged, 12)))
+                    .containsExactly(new ClaimVerdict.Granted());
+        }
+
+        @Test
+        void aCopyAtTheSiblingIsSentToTheHolder() {
+            carry(B, mA, carry(A, mB, wants(mA, 10), 11), 12);
+            assertThat(verdicts(wants(mB, 20))).containsExactly(new ClaimVerdict.HeldBy(A, true));
+        }
+
+        @Test
+        void ofTwoCopiesAtTheSameMomentOneIsGranted() {
+            List<ClaimAction> fromA = wants(mA, 10);
+            List<ClaimAction> fromB = wants(mB, 10);
+            List<ClaimAction> repliesOfB = carry(A, mB, fromA, 11);
+            List<ClaimAction> repliesOfA = carry(B, mA, fromB, 11);
+            List<ClaimVerdict> all = new ArrayList<>(verdicts(repliesOfA));
+            all.addAll(verdicts(repliesOfB));
+            all.addAll(verdicts(carry(B, mA, repliesOfB, 12)));
+            all.addAll(verdicts(carry(A, mB, repliesOfA, 12)));
+            assertThat(all.stream().filter(v -> v instanceof ClaimVerdict.Granted).count())
+                    .isEqualTo(1);
+        }
+
+        @Test
+        void anotherBodyUnderTheSameIdIsAConflict() {
+            carry(B, mA, carry(A, mB, wants(mA, 10), 11), 12);
+            List<ClaimAction> out = new ArrayList<>();
+            mB.want(KEY, WALL_MS, 6, at(20), out);
+            assertThat(verdicts(out)).containsExactly(new ClaimVerdict.Conflict());
+        }
+    }
+
+    @Nested
+    final class Doubt {
+        /**
+         * A sibling falls silent while a claim waits for it. The caller must not be told that the
+         * job was not run: a view unknown here may have started an earlier copy of it.
+         */
+        @Test
+        void aClaimWithoutAnAcknowledgementEndsInDoubt() {
+            wants(mA, 10);
+            List<ClaimAction> out = new ArrayList<>();
+            mA.onTick(at(10 + LIMITS.claimTimeoutMs()), out);
+            assertThat(verdicts(out).get(0)).isInstanceOf(ClaimVerdict.Unknown.class);
+        }
+
+        @Test
+        void anIdFromTheFutureIsNotTaken() {
+            List<ClaimAction> out = new ArrayList<>();
+            mA.want(KEY, WALL_MS + 60_000, 5, at(0), out);
+            assertThat(verdicts(out).get(0)).isInstanceOf(ClaimVerdict.Unknown.class);
+        }
+
+        @Test
+        void anIdOlderThanTheWindowIsNotTaken() {
+            List<ClaimAction> out = new ArrayList<>();
+            mA.want(KEY, WALL_MS, 5, at(LIMITS.windowMs() + 1), out);
+            assertThat(verdicts(out).get(0)).isInstanceOf(ClaimVerdict.Unknown.class);
+        }
+    }
+
+    @Nested
+    final class Lapse {
+        /**
+         * Both members are cut off from the log for longer than it keeps records. A new VM finds no
+         * view there and starts one of its own. A copy of a job reaches the old members: if they
+         * went on, it would be started in both views.
+         */
+        @Test
+        void membersOfAViewThatIsNoLongerOnTheLogStop() {
+            long late = LIMITS.lapseMs() + 1;
+            List<ClaimAction> out = new ArrayList<>();
+            mA.want(KEY, WALL_MS + late, 5, at(late), out);
+            assertThat(out).isEmpty();
+            assertThat(mA.ready(at(late))).isFalse();
+        }
+
+        @Test
+        void aMemberThatWakesAfterTheLapseIsGrantedNothing() {
+            List<ClaimAction> asked = wants(mA, 10);
+            List<ClaimAction> acknowledged = carry(A, mB, asked, 11);
+            long late = LIMITS.lapseMs() + 1;
+            assertThat(verdicts(carry(B, mA, acknowledged, late))).isEmpty();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/dispatch/HistoriesProperties.java
@@ -0,0 +1,41 @@
+package org.boragegap.core.dispatch;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import net.jqwik.api.EdgeCasesMode;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+
+/**
+ * Clients submit their jobs again elsewhere while entry VMs are killed, replaced, paused and cut
+ * off, and the log is slow, out, or past its retention. However it goes, no task starts twice, an
+ * answer is whole or a failure, and what was said not to have run has not run.
+ */
+final class HistoriesProperties {
+    private static final int HISTORIES_A_TRY = Integer.getInteger("boragegap.histories", 100);
+    private static final Long ONE_SEED = Long.getLong("boragegap.seed");
+
+    @Property(
+            tries = 100,
+            seed = "20261202",
+            shrinking = ShrinkingMode.OFF,
+            edgeCases = EdgeCasesMode.NONE)
+    void noHistoryBreaksAPromise(@ForAll long first) {
+        if (ONE_SEED != null) {
+            check(ONE_SEED);
+            return;
+        }
+        for (int i = 0; i < HISTORIES_A_TRY; i++) {
+            check(first + i);
+        }
+    }
+
+    private static void check(long seed) {
+        List<String> violations = new History(seed).run();
+        assertWithMessage("run again: mvn -pl core test -Dboragegap.seed=%s", seed)
+                .that(violations)
+                .isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/dispatch/History.java
@@ -0,0 +1,454 @@
+package org.boragegap.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.boragegap.core.claim.ClaimLimits;
+import org.boragegap.core.claim.LogBatch;
+import org.boragegap.core.claim.LoggedView;
+import org.boragegap.core.claim.Member;
+import org.boragegap.core.job.Answer;
+import org.boragegap.core.job.FailureKind;
+import org.boragegap.core.job.Need;
+import org.boragegap.core.job.Outcome;
+import org.boragegap.core.job.RefusalCause;
+import org.boragegap.core.job.Submission;
+import org.boragegap.core.job.SubmissionId;
+import org.boragegap.core.job.TaskSpec;
+import org.boragegap.core.membership.ListedVm;
+import org.boragegap.core.membership.VmKind;
+
+/**
+ * One seeded history: a few entry VMs in up to three failure domains, jobs that are submitted again
+ * and again anywhere, and failures at random moments. It counts the starts of every task.
+ */
+final class History {
+    static final ClaimLimits LIMITS = new ClaimLimits(40_000, 300, 4_000, 250, 1_000, 30_000);
+    private static final long START_MS = 1_800_000_000_000L;
+    private static final long TICK_MS = 250;
+    private static final long LENGTH_MS = 60_000;
+    private static final int JOBS = 12;
+    private static final int TASKS = 2;
+    private static final long DEADLINE_MS = 8_000;
+
+    private record Event(long atMs, long sequence, Runnable action) {}
+
+    private final SplittableRandom mRandom;
+    private final int mDomains;
+    private final FakeLog mLog = new FakeLog(LIMITS.retentionMs());
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::atMs).thenComparingLong(Event::sequence));
+    private final Map<String, FakeVm> mVms = new HashMap<>();
+    private final Set<String> mCut = new HashSet<>();
+    private final Set<String> mLogCut = new HashSet<>();
+    private final Map<String, Integer> mStarts = new HashMap<>();
+    private final Map<Long, String> mOpenCallers = new HashMap<>();
+    private final Map<Long, FakeVm> mLinks = new HashMap<>();
+    private final Map<FailureKind, Integer> mFailed = new HashMap<>();
+    private final List<String> mViolations = new ArrayList<>();
+    private long mNowMs = START_MS;
+    private long mSequence;
+    private long mNextCaller = 1;
+    private long mNextLink = 1;
+    private int mComplete;
+
+    History(long seed) {
+        mRandom = new SplittableRandom(seed);
+        mDomains = 1 + mRandom.nextInt(3);
+        int vmsEach = mDomains == 1 ? 2 + mRandom.nextInt(3) : 2;
+        for (int domain = 0; domain < mDomains; domain++) {
+            for (int i = 0; i < vmsEach; i++) {
+                startVm("vm" + domain + i + ":1", domain);
+            }
+        }
+        at(3_000, this::submitAll);
+        at(2_500, this::scheduleFailures);
+    }
+
+    /** Runs it and returns what went against the promises. */
+    List<String> run() {
+        long endMs = START_MS + LENGTH_MS;
+        while (!mEvents.isEmpty() && mEvents.peek().atMs() <= endMs) {
+            Event event = mEvents.poll();
+            mNowMs = event.atMs();
+            event.action().run();
+        }
+        return mViolations;
+    }
+
+    int complete() {
+        return mComplete;
+    }
+
+    int starts() {
+        return mStarts.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    Map<FailureKind, Integer> failed() {
+        return mFailed;
+    }
+
+    private void at(long delayMs, Runnable action) {
+        mEvents.add(new Event(mNowMs + delayMs, mSequence++, action));
+    }
+
+    private long random(long most) {
+        return mRandom.nextLong(most);
+    }
+
+    private boolean chance(int percent) {
+        return mRandom.nextInt(100) < percent;
+    }
+
+    private FakeVm anyVm() {
+        List<String> addresses = new ArrayList<>(mVms.keySet());
+        addresses.sort(Comparator.naturalOrder());
+        return mVms.get(addresses.get(mRandom.nextInt(addresses.size())));
+    }
+
+    private void startVm(String address, int domain) {
+        Member member = new Member(address, mNowMs + 1);
+        List<String> domains = new ArrayList<>();
+        for (int i = 0; i < mDomains; i++) {
+            domains.add("fd" + i);
+        }
+        DispatchSettings settings = DispatchSettings.usual("fd" + domain, domains);
+        Dispatcher dispatcher = Dispatcher.create(member, settings, LIMITS, mRandom.split());
+        long skewMs = random(2 * LIMITS.skewMs() + 1) / 2 - LIMITS.skewMs() / 2;
+        FakeVm vm = new FakeVm(member, domain, dispatcher, skewMs);
+        mVms.put(address, vm);
+        at(1, () -> tick(vm));
+        at(1 + random(50), () -> readLog(vm));
+        at(2, () -> list(vm));
+    }
+
+    private void list(FakeVm vm) {
+        List<ListedVm> vms = new ArrayList<>();
+        for (FakeVm other : mVms.values()) {
+            vms.add(listed(other.mMember.address(), other.mDomain, VmKind.ENTRY));
+        }
+        for (int domain = 0; domain < mDomains; domain++) {
+            vms.add(listed("worker" + domain + ":1", domain, VmKind.WORKER));
+            vms.add(listed("worker" + domain + ":2", domain, VmKind.WORKER));
+        }
+        give(vm, new org.boragegap.core.dispatch.Event.VmsListed(vms));
+    }
+
+    private static ListedVm listed(String address, int domain, VmKind kind) {
+        Need capacity = new Need(100_000, 100_000, 0);
+        return new ListedVm(address, "fd" + domain, kind, "", false, capacity, 64);
+    }
+
+    private void tick(FakeVm vm) {
+        if (!vm.mAlive) {
+            return;
+        }
+        at(TICK_MS, () -> tick(vm));
+        if (!vm.mPaused) {
+            give(vm, new org.boragegap.core.dispatch.Event.Ticked());
+        }
+    }
+
+    private void readLog(FakeVm vm) {
+        if (!vm.mAlive) {
+            return;
+        }
+        at(250 + random(250), () -> readLog(vm));
+        if (vm.mPaused || mLogCut.contains(vm.mMember.address())) {
+            return;
+        }
+        int first = mLog.first(mNowMs);
+        if (first > vm.mLogOffset) {
+            vm.mFirstOffset = first;
+        }
+        List<LoggedView> views = mLog.read(vm.mLogOffset, mNowMs);
+        vm.mLogOffset = mLog.end();
+        LogBatch batch = new LogBatch(views, vm.mFirstOffset, vm.mLogOffset, mNowMs, true);
+        at(
+                random(8),
+                () -> give(vm, new org.boragegap.core.dispatch.Event.LogRead(batch, List.of())));
+    }
+
+    /** Hands an event to a VM; one that is paused takes it when it wakes. */
+    private void give(FakeVm vm, org.boragegap.core.dispatch.Event event) {
+        if (!vm.mAlive) {
+            return;
+        }
+        if (vm.mPaused) {
+            vm.mDeferred.add(() -> give(vm, event));
+            return;
+        }
+        List<Action> actions = new ArrayList<>();
+        vm.mDispatcher.on(event, vm.clock(mNowMs), actions);
+        checkRefusals(event, actions);
+        // A pause may fall between a decision and the send that carries it out.
+        if (chance(1) && chance(30)) {
+            pause(vm);
+            vm.mDeferred.add(() -> actions.forEach(action -> carryOut(vm, action)));
+            return;
+        }
+        actions.forEach(action -> carryOut(vm, action));
+    }
+
+    private void carryOut(FakeVm vm, Action action) {
+        if (action instanceof Action.Tell tell) {
+            send(
+                    vm,
+                    tell.address(),
+                    new org.boragegap.core.dispatch.Event.PeerSpoke(vm.mMember, tell.message()));
+        } else if (action instanceof Action.TellLoan tell) {
+            send(
+                    vm,
+                    tell.address(),
+                    new org.boragegap.core.dispatch.Event.SiblingLent(
+                            vm.mMember.address(), tell.message()));
+        } else if (action instanceof Action.AppendView append) {
+            append(vm, append);
+        } else if (action instanceof Action.Forward forward) {
+            forward(vm, forward);
+        } else if (action instanceof Action.Start start) {
+            start(vm, start);
+        } else if (action instanceof Action.Reply reply) {
+            reply(vm, reply);
+        }
+    }
+
+    private boolean cut(FakeVm from, String to) {
+        String one = from.mMember.address();
+        return mCut.contains(one + to) || mCut.contains(to + one);
+    }
+
+    private void send(FakeVm from, String to, org.boragegap.core.dispatch.Event event) {
+        if (cut(from, to) || chance(2)) {
+            return;
+        }
+        FakeVm target = mVms.get(to);
+        at(1 + random(chance(3) ? 3_000 : 3), () -> give(target, event));
+    }
+
+    private void append(FakeVm vm, Action.AppendView append) {
+        boolean lost = mLogCut.contains(vm.mMember.address()) && chance(80);
+        if (!lost) {
+            long delayMs = chance(10) ? random(6_000) : 2 + random(10);
+            at(delayMs, () -> mLog.append(append.record(), mNowMs));
+        }
+    }
+
+    private void forward(FakeVm from, Action.Forward forward) {
+        FakeVm to = mVms.get(forward.address());
+        if (cut(from, forward.address()) || to == null) {
+            at(5, () -> give(from, lost(forward, false)));
+            return;
+        }
+        long link = mNextLink++;
+        mLinks.put(link, from);
+        CallerRef caller = new CallerRef.PeerCaller(link, forward.forwardId());
+        org.boragegap.core.dispatch.Event event =
+                new org.boragegap.core.dispatch.Event.Submitted(
+                        caller, forward.submission(), false, forward.hops());
+        at(1 + random(3), () -> give(to, event));
+        at(3_000, () -> checkForward(from, to, forward));
+    }
+
+    private void checkForward(FakeVm from, FakeVm to, Action.Forward forward) {
+        if (!to.mAlive || to.mPaused || cut(from, to.mMember.address())) {
+            give(from, lost(forward, true));
+        }
+    }
+
+    private static org.boragegap.core.dispatch.Event lost(Action.Forward forward, boolean sent) {
+        return new org.boragegap.core.dispatch.Event.ForwardLost(forward.forwardId(), sent);
+    }
+
+    private void start(FakeVm vm, Action.Start start) {
+        if (chance(3)) {
+            end(vm, start, new Outcome.NotRun(RefusalCause.BUSY, "busy"));
+            return;
+        }
+        String task = start.submission().id().text() + "/" + start.task().index();
+        int count = mStarts.merge(task, 1, Integer::sum);
+        if (count > 1) {
+            mViolations.add("started twice: " + task + " by " + vm.mMember + " at " + mNowMs);
+        }
+        Outcome outcome =
+                chance(2)
+                        ? new Outcome.Lost("gone")
+                        : new Outcome.Succeeded("result of " + task, 100, Need.NONE);
+        end(vm, start, outcome);
+    }
+
+    private void end(FakeVm vm, Action.Start start, Outcome outcome) {
+        at(
+                50 + random(400),
+                () ->
+                        give(
+                                vm,
+                                new org.boragegap.core.dispatch.Event.AttemptEnded(
+                                        start.attempt(), outcome)));
+    }
+
+    private void reply(FakeVm vm, Action.Reply reply) {
+        if (reply.caller() instanceof CallerRef.PeerCaller peer) {
+            FakeVm asker = mLinks.get(peer.link());
+            if (!cut(vm, asker.mMember.address())) {
+                org.boragegap.core.dispatch.Event event =
+                        new org.boragegap.core.dispatch.Event.ForwardAnswered(
+                                peer.forwardId(), reply.answer());
+                at(1 + random(3), () -> give(asker, event));
+            }
+        } else if (reply.caller() instanceof CallerRef.HttpCaller caller) {
+            answered(caller.token(), reply);
+        }
+    }
+
+    private void answered(long token, Action.Reply reply) {
+        String id = mOpenCallers.remove(token);
+        if (!reply.id().text().equals(id)) {
+            mViolations.add("answer of " + reply.id().text() + " to a caller of " + id);
+            return;
+        }
+        if (reply.answer() instanceof Answer.Complete complete) {
+            checkWhole(id, complete);
+        } else if (reply.answer() instanceof Answer.Failed failed) {
+            mFailed.merge(failed.kind(), 1, Integer::sum);
+        }
+    }
+
+    private void checkWhole(String id, Answer.Complete complete) {
+        mComplete++;
+        for (int i = 0; i < TASKS; i++) {
+            String expected = "result of " + id + "/" + i;
+            if (complete.results().size() != TASKS || !complete.results().get(i).equals(expected)) {
+                mViolations.add("not whole: " + complete.results() + " for " + id);
+            }
+        }
+    }
+
+    /** At the moment of a refusal nothing of it has been started. */
+    private void checkRefusals(org.boragegap.core.dispatch.Event event, List<Action> actions) {
+        if (event instanceof org.boragegap.core.dispatch.Event.ForwardAnswered) {
+            return;
+        }
+        for (Action action : actions) {
+            boolean refusal =
+                    action instanceof Action.Reply reply
+                            && reply.answer() instanceof Answer.Failed failed
+                            && failed.kind().nothingRan();
+            if (refusal) {
+                Action.Reply reply = (Action.Reply) action;
+                checkNotRun(reply.id().text(), (Answer.Failed) reply.answer());
+            }
+        }
+    }
+
+    private void checkNotRun(String id, Answer.Failed failed) {
+        for (int i = 0; i < TASKS; i++) {
+            if (mStarts.containsKey(id + "/" + i)) {
+                mViolations.add("said " + failed + " though " + id + "/" + i + " was started");
+            }
+        }
+    }
+
+    private void submitAll() {
+        for (int job = 0; job < JOBS; job++) {
+            long delayMs = random(LENGTH_MS - 15_000);
+            String text = "job" + job;
+            at(delayMs, () -> submitCopies(text, mNowMs));
+        }
+    }
+
+    private void submitCopies(String text, long createdMs) {
+        int copies = 1 + mRandom.nextInt(5);
+        for (int copy = 0; copy < copies; copy++) {
+            long delayMs = chance(40) ? random(5) : random(12_000);
+            at(delayMs, () -> submit(text, createdMs));
+        }
+    }
+
+    private void submit(String text, long createdMs) {
+        FakeVm vm = anyVm();
+        SubmissionId id = new SubmissionId(text, createdMs, Optional.empty(), Optional.empty());
+        List<TaskSpec> tasks = new ArrayList<>();
+        for (int i = 0; i < TASKS; i++) {
+            tasks.add(new TaskSpec(i, new Need(100, 10, 0), 100, ""));
+        }
+        Submission submission =
+                new Submission(
+                        id,
+                        "team",
+                        "kind",
+                        Optional.empty(),
+                        false,
+                        mNowMs + DEADLINE_MS,
+                        tasks,
+                        7);
+        long token = mNextCaller++;
+        mOpenCallers.put(token, text);
+        CallerRef caller = new CallerRef.HttpCaller(token);
+        give(vm, new org.boragegap.core.dispatch.Event.Submitted(caller, submission, false, 0));
+    }
+
+    private void scheduleFailures() {
+        int failures = mRandom.nextInt(9);
+        for (int i = 0; i < failures; i++) {
+            at(random(LENGTH_MS - 12_000), this::fail);
+        }
+    }
+
+    private void fail() {
+        switch (mRandom.nextInt(6)) {
+            case 0 -> replace(anyVm());
+            case 1 -> pause(anyVm());
+            case 2 -> cutPair(anyVm(), anyVm());
+            case 3 -> cutLog(List.of(anyVm()), 2_000 + random(15_000));
+            case 4 -> cutLog(new ArrayList<>(mVms.values()), 2_000 + random(25_000));
+            default -> cutLog(new ArrayList<>(mVms.values()), 40_000);
+        }
+    }
+
+    /** The process dies, and a new one comes at the same address. */
+    private void replace(FakeVm vm) {
+        vm.mAlive = false;
+        at(random(4_000), () -> startVm(vm.mMember.address(), vm.mDomain));
+    }
+
+    private void pause(FakeVm vm) {
+        if (vm.mPaused) {
+            return;
+        }
+        vm.mPaused = true;
+        at(200 + random(chance(30) ? 40_000 : 6_000), () -> wake(vm));
+    }
+
+    private void wake(FakeVm vm) {
+        vm.mPaused = false;
+        List<Runnable> deferred = new ArrayList<>(vm.mDeferred);
+        vm.mDeferred.clear();
+        if (vm.mAlive) {
+            deferred.forEach(Runnable::run);
+        }
+    }
+
+    private void cutPair(FakeVm one, FakeVm other) {
+        String pair = one.mMember.address() + other.mMember.address();
+        mCut.add(pair);
+        at(1_000 + random(20_000), () -> mCut.remove(pair));
+    }
+
+    private void cutLog(List<FakeVm> vms, long lengthMs) {
+        for (FakeVm vm : vms) {
+            String address = vm.mMember.address();
+            if (mLogCut.add(address)) {
+                at(lengthMs, () -> mLogCut.remove(address));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/dispatch/HistoryFigures.java
@@ -0,0 +1,36 @@
+package org.boragegap.core.dispatch;
+
+import java.util.EnumMap;
+import java.util.Map;
+import org.boragegap.core.job.FailureKind;
+
+/** Prints figures over many histories; docs/MEASURING.md has the command. */
+final class HistoryFigures {
+    private HistoryFigures() {}
+
+    /** Runs as many histories as the first argument says. */
+    public static void main(String[] arguments) {
+        int histories = Integer.parseInt(arguments[0]);
+        long startedNs = System.nanoTime();
+        int broken = 0;
+        long complete = 0;
+        long starts = 0;
+        Map<FailureKind, Integer> failed = new EnumMap<>(FailureKind.class);
+        for (int seed = 0; seed < histories; seed++) {
+            History history = new History(seed);
+            broken += history.run().isEmpty() ? 0 : 1;
+            complete += history.complete();
+            starts += history.starts();
+            history.failed().forEach((kind, count) -> failed.merge(kind, count, Integer::sum));
+        }
+        System.out.printf(
+                "{\"histories\":%d,\"broken\":%d,\"complete\":%d,\"starts\":%d,\"failed\":\"%s\","
+                        + "\"ms\":%d}%n",
+                histories,
+                broken,
+                complete,
+                starts,
+                failed,
+                (System.nanoTime() - startedNs) / 1_000_000);
+    }
+}
--- a/entry/src/main/java/org/boragegap/entry/LogFollower.java
+++ b/entry/src/main/java/org/boragegap/entry/LogFollower.java
@@ -13,7 +13,6 @@
 import org.boragegap.core.claim.LogBatch;
 import org.boragegap.core.claim.LoggedView;
 import org.boragegap.core.dispatch.Event;
-import org.boragegap.http.HttpCaller;
 import org.boragegap.platform.LogClient;
 import org.boragegap.platform.LogEntry;
 import org.boragegap.platform.LogPage;
@@ -31,7 +30,7 @@
     private final long mPollMs;
     private final AtomicBoolean mReading = new AtomicBoolean();
     private volatile long mNext;
-    private volatile boolean mWholeHistory = true;
+    private volatile long mFirst;
     private volatile boolean mStarted;
 
     LogFollower(
@@ -56,13 +55,12 @@
         if (!mReading.compareAndSet(false, true)) {
             return;
         }
-        long startedMs = HttpCaller.nowMs();
-        mLog.read(mNext, page -> onPage(page, startedMs));
+        mLog.read(mNext, this::onPage);
     }
 
-    private void onPage(Optional<LogPage> page, long startedMs) {
+    private void onPage(Optional<LogPage> page) {
         try {
-            page.ifPresent(read -> take(read, startedMs));
+            page.ifPresent(this::take);
         } finally {
             mReading.set(false);
         }
@@ -72,13 +70,12 @@
         }
     }
 
-    private void take(LogPage page, long startedMs) {
-        boolean missed = page.first() > mNext;
-        if (!mStarted) {
-            mWholeHistory = page.first() == 0;
-        } else if (missed) {
-            mWholeHistory = false;
-            sLog.warn("records {} to {} of the log were missed", mNext, page.first());
+    private void take(LogPage page) {
+        if (page.first() > mNext) {
+            if (mStarted) {
+                sLog.warn("records {} to {} of the log were missed", mNext, page.first());
+            }
+            mFirst = page.first();
         }
         mStarted = true;
         mNext = page.next();
@@ -88,7 +85,7 @@
             sort(page, item, views, bundles);
         }
         boolean atEnd = page.next() >= page.end();
-        LogBatch batch = new LogBatch(views, mWholeHistory, atEnd, startedMs);
+        LogBatch batch = new LogBatch(views, mFirst, mNext, page.nowMs(), atEnd);
         mEvents.accept(new Event.LogRead(batch, bundles));
     }
 
@@ -98,7 +95,7 @@
             LogEntry entry = PlatformJson.read(item.body(), LogEntry.class);
             if (entry instanceof LogEntry.View view) {
                 long ageMs = page.nowMs() - item.atMs();
-                views.add(new LoggedView(view.record(), item.atMs(), ageMs));
+                views.add(new LoggedView(item.offset(), view.record(), item.atMs(), ageMs));
             } else if (entry instanceof LogEntry.Configuration configuration) {
                 bundles.add(
                         new BundleRecord(
--- a/entry/src/main/java/org/boragegap/entry/Setting.java
+++ b/entry/src/main/java/org/boragegap/entry/Setting.java
@@ -83,7 +83,7 @@
             "claim_timeout_ms",
             SettingType.of(50, 60_000),
             "ms",
-            "1500",
+            "4000",
             "wait for a claim"),
     RESEND_MS(
             "claims", "resend_ms", SettingType.of(10, 10_000), "ms", "200", "pause between tries"),
@@ -92,7 +92,7 @@
             "suspect_ms",
             SettingType.of(100, 60_000),
             "ms",
-            "2000",
+            "1000",
             "silence before suspicion"),
     ANSWER_KEEP_MS(
             "claims",
