Failures over real processes: kill, pause, log outage, cut, drain, racing operators

Cause: the promises were proved in the core alone; these failures live between processes. Nine tests bring them about with signals and the stand-ins' switches; each verdict comes from what targets and callers counted.

Ruled out: unsigned bundles in the tests; the product rightly refused them ('needs valid signatures of 2 known signers'), so the tests sign.

--- /dev/null
+++ b/app/src/test/java/org/boragegap/app/FailuresTest.java
@@ -0,0 +1,324 @@
+package org.boragegap.app;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Failures of whole processes, over loopback sockets; the targets count what was started. */
+final class FailuresTest {
+    private static final String REQUESTS = "/v1/services/catalogue/requests";
+    private static final String BODY = "{\"teams\":{},\"kinds\":{}}";
+    private Signers mSigners;
+    private ProcessDeployment mDeployment;
+    private ExecutorService mCallers;
+
+    @BeforeEach
+    void start() throws Exception {
+        mSigners = new Signers();
+        mDeployment = new ProcessDeployment(2, 2, 2, mSigners.settings());
+        mCallers = Executors.newFixedThreadPool(32);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mCallers.shutdownNow();
+        mDeployment.stop();
+    }
+
+    private ProcessDeployment.Entry entry(int domain, int number) {
+        return mDeployment.entriesOf(domain).get(number);
+    }
+
+    private Future<HttpResponse<String>> submit(
+            ProcessDeployment.Entry entry, String path, String body) {
+        return mCallers.submit(() -> ProcessDeployment.post(entry.mCaller, path, body));
+    }
+
+    private void awaitStarted(String id) throws Exception {
+        mDeployment.await("a start of " + id, () -> startsOf(id) > 0);
+    }
+
+    private int startsOf(String id) throws Exception {
+        int starts = 0;
+        for (Map.Entry<String, Integer> entry : mDeployment.starts().entrySet()) {
+            starts += entry.getKey().startsWith(id + "/") ? entry.getValue() : 0;
+        }
+        return starts;
+    }
+
+    private void assertNothingStartedTwice() throws Exception {
+        for (Map.Entry<String, Integer> entry : mDeployment.starts().entrySet()) {
+            assertWithMessage("starts of %s", entry.getKey()).that(entry.getValue()).isEqualTo(1);
+        }
+    }
+
+    private void awaitMembers(ProcessDeployment.Entry entry, int members) throws Exception {
+        mDeployment.await(
+                members + " members as seen by " + entry.mCaller,
+                () -> mDeployment.dump(entry).at("/view/members").size() == members);
+    }
+
+    @Nested
+    final class KilledVm {
+        /**
+         * A student's job is running when its entry VM dies, and the client sends it again to the
+         * sibling. Whether the rest ran is not known there, so the answer is at once that it may
+         * have run; nothing is started again. New jobs go on, also after the VM is replaced.
+         */
+        @Test
+        void whatItHeldEndsInDoubtAndNewWorkGoesOn() throws Exception {
+            awaitMembers(entry(0, 1), 2);
+            String id = Bodies.id(0);
+            String body = Bodies.job(id, "held", 20, 1_500, 20_000);
+            submit(entry(0, 0), "/v1/jobs", body);
+            awaitStarted(id);
+            ProcessDeployment.signal(entry(0, 0), "KILL");
+            awaitMembers(entry(0, 1), 1);
+
+            HttpResponse<String> copy = submit(entry(0, 1), "/v1/jobs", body).get();
+            assertWithMessage(copy.body()).that(copy.statusCode()).isEqualTo(504);
+            assertThat(ProcessDeployment.json(copy).path("outcome").asText())
+                    .isEqualTo("may_have_run");
+            String next = Bodies.job(Bodies.id(0), "next", 4, 20, 20_000);
+            assertThat(submit(entry(0, 1), "/v1/jobs", next).get().statusCode()).isEqualTo(200);
+
+            mDeployment.start(entry(0, 0));
+            mDeployment.awaitReady(entry(0, 0));
+            HttpResponse<String> again = submit(entry(0, 0), "/v1/jobs", body).get();
+            assertWithMessage(again.body()).that(again.statusCode()).isEqualTo(504);
+            assertNothingStartedTwice();
+        }
+    }
+
+    @Nested
+    final class PausedVm {
+        /**
+         * An entry VM is stopped for a while with a job half started, unaware of it. Its sibling
+         * goes on alone and answers a copy of the job with doubt. The paused VM wakes, finishes its
+         * job, finds that the view has moved on, and comes back; no task was started twice.
+         */
+        @Test
+        void itWakesWithoutStartingWhatOthersStarted() throws Exception {
+            awaitMembers(entry(0, 1), 2);
+            String id = Bodies.id(0);
+            String body = Bodies.job(id, "paused", 60, 300, 20_000);
+            Future<HttpResponse<String>> first = submit(entry(0, 0), "/v1/jobs", body);
+            awaitStarted(id);
+            ProcessDeployment.signal(entry(0, 0), "STOP");
+            awaitMembers(entry(0, 1), 1);
+            HttpResponse<String> copy = submit(entry(0, 1), "/v1/jobs", body).get();
+            assertWithMessage(copy.body()).that(copy.statusCode()).isEqualTo(504);
+            ProcessDeployment.signal(entry(0, 0), "CONT");
+
+            HttpResponse<String> answer = first.get();
+            assertWithMessage(answer.body()).that(answer.statusCode()).isAnyOf(200, 504);
+            awaitMembers(entry(0, 0), 2);
+            assertNothingStartedTwice();
+        }
+    }
+
+    @Nested
+    final class LogOutage {
+        /**
+         * The platform's log is out. Entry VMs that run go on as before, since a claim needs only
+         * the siblings. A VM that dies and comes back meanwhile can't know what was started, so it
+         * takes no callers until the log is back.
+         */
+        @Test
+        void runningVmsGoOnAndANewOneWaits() throws Exception {
+            awaitMembers(entry(0, 1), 2);
+            mDeployment.log(0, "DOWN");
+            mDeployment.log(1, "DOWN");
+            for (int i = 0; i < 10; i++) {
+                String body = Bodies.job(Bodies.id(0), "out-" + i, 2, 10, 20_000);
+                HttpResponse<String> answer = submit(entry(0, i % 2), "/v1/jobs", body).get();
+                assertWithMessage(answer.body()).that(answer.statusCode()).isEqualTo(200);
+            }
+            ProcessDeployment.signal(entry(0, 0), "KILL");
+            mDeployment.start(entry(0, 0));
+            mDeployment.await(
+                    "the new VM to be up",
+                    () ->
+                            ProcessDeployment.get(entry(0, 0).mOperator, "/readyz").statusCode()
+                                    == 503);
+            mDeployment.log(0, "UP");
+            mDeployment.log(1, "UP");
+            mDeployment.awaitReady(entry(0, 0));
+            awaitMembers(entry(0, 1), 2);
+            assertNothingStartedTwice();
+        }
+
+        /**
+         * Appends take effect but their replies are lost, while a VM is replaced. The view record
+         * is found by reading, and proposing it again changes nothing.
+         */
+        @Test
+        void lostRepliesDoNotHoldUpAReplacement() throws Exception {
+            awaitMembers(entry(0, 1), 2);
+            ProcessDeployment.signal(entry(0, 0), "KILL");
+            mDeployment.log(0, "LOSE_REPLIES");
+            mDeployment.start(entry(0, 0));
+            int before = mDeployment.logAppends();
+            mDeployment.await("an append without a reply", () -> mDeployment.logAppends() > before);
+            mDeployment.log(0, "UP");
+            mDeployment.awaitReady(entry(0, 0));
+            awaitMembers(entry(0, 1), 2);
+        }
+    }
+
+    @Nested
+    final class CutOffDomain {
+        /**
+         * One failure domain loses the platform: its log and its VM list. It goes on serving all
+         * that comes to it, and it gets a bundle that is published elsewhere from its peers.
+         */
+        @Test
+        void itServesAllAndStillGetsTheBundle() throws Exception {
+            awaitMembers(entry(0, 1), 2);
+            mDeployment.log(0, "DOWN");
+            mDeployment.list(0, true);
+            List<Future<HttpResponse<String>>> answers = new ArrayList<>();
+            for (int i = 0; i < 40; i++) {
+                String body = Bodies.request(Bodies.id(0), "r" + i, false, 20, 20_000);
+                answers.add(submit(entry(0, i % 2), REQUESTS, body));
+            }
+            for (Future<HttpResponse<String>> answer : answers) {
+                assertThat(answer.get().statusCode()).isEqualTo(200);
+            }
+            HttpResponse<String> published = publish(entry(1, 0), 1, "", "p1");
+            assertWithMessage(published.body()).that(published.statusCode()).isEqualTo(200);
+            mDeployment.await(
+                    "the bundle in the domain that is cut off",
+                    () -> bundleVersion(entry(0, 0)) == 1 && bundleVersion(entry(0, 1)) == 1);
+            assertNothingStartedTwice();
+        }
+    }
+
+    private long bundleVersion(ProcessDeployment.Entry entry) throws Exception {
+        return mDeployment.dump(entry).path("bundleVersion").asLong();
+    }
+
+    private HttpResponse<String> publish(
+            ProcessDeployment.Entry entry, long version, String parent, String publication)
+            throws Exception {
+        String bundle = mSigners.bundle(version, parent, publication, BODY);
+        return ProcessDeployment.post(entry.mOperator, "/v1/bundles", bundle);
+    }
+
+    @Nested
+    final class RacingOperators {
+        /**
+         * Two operators publish different bundles on the same parent through different failure
+         * domains at once. One is accepted and in force everywhere, the other operator is told of
+         * the conflict. An old bundle that is sent again changes nothing.
+         */
+        @Test
+        void oneIsInForceEverywhereAndTheOtherIsToldSo() throws Exception {
+            Future<HttpResponse<String>> one =
+                    mCallers.submit(() -> publish(entry(0, 0), 1, "", "one"));
+            Future<HttpResponse<String>> other =
+                    mCallers.submit(() -> publish(entry(1, 0), 1, "", "other"));
+            List<Integer> statuses = List.of(one.get().statusCode(), other.get().statusCode());
+            assertThat(statuses).containsExactly(200, 409);
+
+            String winner = one.get().statusCode() == 200 ? "one" : "other";
+            assertThat(publish(entry(1, 1), 2, winner, "two").statusCode()).isEqualTo(200);
+            for (ProcessDeployment.Entry entry : mDeployment.entries()) {
+                mDeployment.await("version 2", () -> bundleVersion(entry) == 2);
+            }
+            assertThat(publish(entry(0, 1), 1, "", winner).statusCode()).isEqualTo(200);
+            assertThat(bundleVersion(entry(0, 1))).isEqualTo(2);
+        }
+
+        /**
+         * An operator publishes while the log loses its replies. The record is there, and reading
+         * it back gives the answer.
+         */
+        @Test
+        void aLostReplyIsResolvedByReadingBack() throws Exception {
+            mDeployment.log(0, "LOSE_REPLIES");
+            Future<HttpResponse<String>> published =
+                    mCallers.submit(() -> publish(entry(0, 0), 1, "", "p1"));
+            mDeployment.await("the bundle elsewhere", () -> bundleVersion(entry(1, 0)) == 1);
+            mDeployment.log(0, "UP");
+            assertThat(published.get().statusCode()).isEqualTo(200);
+        }
+    }
+
+    @Nested
+    final class Draining {
+        /**
+         * An operator stops an entry VM under load, and stops it again out of impatience. Every
+         * request in flight gets its whole answer, later ones are refused as not run or answered by
+         * the sibling, and the process ends by itself with code 0.
+         */
+        @Test
+        void nothingInFlightIsCutOff() throws Exception {
+            awaitMembers(entry(0, 1), 2);
+            List<Future<HttpResponse<String>>> answers = new ArrayList<>();
+            for (int i = 0; i < 12; i++) {
+                String body = Bodies.job(Bodies.id(0), "d" + i, 4, 700, 20_000);
+                answers.add(submit(entry(0, 0), "/v1/jobs", body));
+            }
+            mDeployment.await(
+                    "jobs in flight",
+                    () -> mDeployment.dump(entry(0, 0)).path("runningAttempts").asInt() > 0);
+            ProcessDeployment.signal(entry(0, 0), "TERM");
+            ProcessDeployment.signal(entry(0, 0), "TERM");
+            for (Future<HttpResponse<String>> answer : answers) {
+                HttpResponse<String> response = answer.get();
+                assertWithMessage(response.body()).that(response.statusCode()).isEqualTo(200);
+            }
+            assertThat(entry(0, 0).mProcess.waitFor(20, TimeUnit.SECONDS)).isTrue();
+            assertThat(entry(0, 0).mProcess.exitValue()).isEqualTo(0);
+            awaitMembers(entry(0, 1), 1);
+            assertNothingStartedTwice();
+        }
+    }
+
+    @Nested
+    final class FrozenMinions {
+        /**
+         * Minions take requests and never answer. A meter billing is sent once and ends in doubt at
+         * its deadline; a seat check is sent elsewhere and answered.
+         */
+        @Test
+        void onlyWhatIsIdempotentIsSentAgain() throws Exception {
+            mDeployment.minion(0, "FREEZE");
+            List<String> ids = new ArrayList<>();
+            List<Future<HttpResponse<String>>> answers = new ArrayList<>();
+            for (int i = 0; i < 16; i++) {
+                boolean idempotent = i % 2 == 0;
+                String id = Bodies.id(0);
+                ids.add(id);
+                String body = Bodies.request(id, "r" + i, idempotent, 20, 4_000);
+                answers.add(submit(entry(0, i / 2 % 2), REQUESTS, body));
+            }
+            for (int i = 0; i < answers.size(); i++) {
+                HttpResponse<String> response = answers.get(i).get();
+                JsonNode json = ProcessDeployment.json(response);
+                if (i % 2 == 0) {
+                    assertWithMessage(response.body())
+                            .that(json.path("result").asText())
+                            .isEqualTo("r" + i);
+                } else {
+                    assertThat(startsOf(ids.get(i))).isAtMost(1);
+                    assertThat(response.statusCode()).isAnyOf(200, 504);
+                }
+            }
+        }
+    }
+}
--- a/app/src/test/java/org/boragegap/app/ProcessDeployment.java
+++ b/app/src/test/java/org/boragegap/app/ProcessDeployment.java
@@ -259,6 +259,11 @@
                 "");
     }
 
+    /** How many appends the log has taken. */
+    int logAppends() throws Exception {
+        return json(get(HOST + ":" + mLogPorts.get(0), "/stats")).path("appends").asInt();
+    }
+
     /** Takes the VM list away from one failure domain, or gives it back. */
     void list(int domain, boolean down) throws Exception {
         post(
