Bundles: a base only with every record after it; the dispatcher's promises as tests

Cause: a new VM could take a late statement of an old bundle as its base and then a publication that had lost, once the winner had left the log. The same fault as in the views, so what a reader has read without a gap is one class now (ReadWindow) that both use. Also: a retry earned budget for further retries; only first tries do now. A guard against doubled results stood twice and the inner one is gone.

Ruled out: the first form of the budget test; quarantine alone bounded its retries, so it passed without a budget.

--- a/core/src/main/java/org/boragegap/core/bundle/BundleChain.java
+++ b/core/src/main/java/org/boragegap/core/bundle/BundleChain.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.boragegap.core.log.ReadWindow;
 
 /**
  * Decides which bundle is in force.
@@ -14,7 +15,10 @@
  */
 public final class BundleChain {
     private static final int KEPT_VERDICTS = 256;
+    private static final String ACCEPTED = "accepted";
 
+    private final long mRetentionMs;
+    private final ReadWindow<BundleRecord> mWindow = ReadWindow.create();
     private Optional<CheckedBundle> mLogHead = Optional.empty();
     private Optional<CheckedBundle> mInForce = Optional.empty();
     private long mSinceWallMs;
@@ -26,11 +30,17 @@
                 }
             };
 
-    private BundleChain() {}
+    private BundleChain(long retentionMs) {
+        mRetentionMs = retentionMs;
+    }
 
-    /** Makes a chain with nothing in force. */
-    public static BundleChain create() {
-        return new BundleChain();
+    /**
+     * Makes a chain with nothing in force.
+     *
+     * @param retentionMs how long the log keeps a record
+     */
+    public static BundleChain create(long retentionMs) {
+        return new BundleChain(retentionMs);
     }
 
     /** The bundle in force. */
@@ -40,7 +50,11 @@
 
     /** Its version, 0 when there is none. */
     public long version() {
-        return mInForce.map(checked -> checked.bundle().version()).orElse(0L);
+        return versionOf(mInForce);
+    }
+
+    private static long versionOf(Optional<CheckedBundle> bundle) {
+        return bundle.map(checked -> checked.bundle().version()).orElse(0L);
     }
 
     /** Wall-clock time since which it is in force here. */
@@ -48,6 +62,11 @@
         return mSinceWallMs;
     }
 
+    /** True when the bundle in force was read from the log here, and not only told by a peer. */
+    public boolean inForceFromLog() {
+        return mLogHead.isPresent() && versionOf(mLogHead) == version();
+    }
+
     /** What the bundle in force configures. */
     public BundleContent content() {
         return mInForce.flatMap(CheckedBundle::content).orElse(BundleContent.EMPTY);
@@ -58,19 +77,26 @@
         return Optional.ofNullable(mVerdicts.get(publication));
     }
 
+    /** True for a verdict that says that the publication took effect. */
+    public static boolean accepted(String verdict) {
+        return verdict.equals(ACCEPTED);
+    }
+
+    /** Tells from which offset on everything has been read. */
+    public void readFrom(long firstOffset, long nowMs) {
+        if (mWindow.readFrom(firstOffset, nowMs)) {
+            mLogHead = Optional.empty();
+        }
+    }
+
     /** Takes a record in log order; true when another bundle is in force now. */
     public boolean apply(BundleRecord record, long wallMs) {
-        CheckedBundle checked = record.bundle();
-        Optional<String> objection = objection(record);
-        boolean known = mVerdicts.containsKey(checked.bundle().publication());
-        if (!known) {
-            mVerdicts.put(checked.bundle().publication(), objection.orElse("accepted"));
-        }
-        if (objection.isPresent()) {
-            return false;
+        mWindow.forgetBefore(record.appendedMs() - mRetentionMs);
+        mWindow.add(record);
+        if (record.kind() == BundleRecord.Kind.STATED) {
+            return applyStatement(record, wallMs);
         }
-        mLogHead = Optional.of(checked);
-        return adopt(checked, wallMs);
+        return applyPublication(record, wallMs);
     }
 
     /** Takes the bundle that a peer has in force; true when it is newer than the one here. */
@@ -83,21 +109,50 @@
         return true;
     }
 
-    private Optional<String> objection(BundleRecord record) {
+    private boolean applyStatement(BundleRecord record, long wallMs) {
+        CheckedBundle checked = record.bundle();
+        boolean newer = checked.bundle().version() > versionOf(mLogHead);
+        if (!newer || checked.content().isEmpty() || !mWindow.covers(record.asOf())) {
+            return false;
+        }
+        mLogHead = Optional.of(checked);
+        boolean changed = adopt(checked, wallMs);
+        for (BundleRecord since : mWindow.since(record.asOf())) {
+            if (since.kind() == BundleRecord.Kind.PUBLISHED) {
+                changed |= applyPublication(since, wallMs);
+            }
+        }
+        return changed;
+    }
+
+    private boolean applyPublication(BundleRecord record, long wallMs) {
         CheckedBundle checked = record.bundle();
+        Optional<String> objection = objection(checked);
+        // The first verdict stands: the same publication sent again is void, and was decided on.
+        mVerdicts.putIfAbsent(checked.bundle().publication(), objection.orElse(ACCEPTED));
+        if (objection.isPresent()) {
+            return false;
+        }
+        mLogHead = Optional.of(checked);
+        return adopt(checked, wallMs);
+    }
+
+    private Optional<String> objection(CheckedBundle checked) {
         Bundle bundle = checked.bundle();
         if (checked.content().isEmpty()) {
             return Optional.of(checked.problem());
         }
-        long headVersion = mLogHead.map(current -> current.bundle().version()).orElse(0L);
-        if (bundle.version() <= headVersion) {
-            return Optional.of("version " + headVersion + " is already in force");
+        if (mLogHead.isEmpty()) {
+            boolean first = bundle.version() == 1 && bundle.parent().isEmpty();
+            boolean follows = first && mWindow.newestIsAlone();
+            return follows ? Optional.empty() : Optional.of("what is in force is not known here");
         }
-        if (record.kind() == BundleRecord.Kind.STATED) {
-            return Optional.empty();
+        if (bundle.version() <= versionOf(mLogHead)) {
+            return Optional.of("version " + versionOf(mLogHead) + " is already in force");
         }
-        String head = mLogHead.map(current -> current.bundle().publication()).orElse("");
-        boolean follows = bundle.parent().equals(head) && bundle.version() == headVersion + 1;
+        boolean follows =
+                bundle.parent().equals(mLogHead.get().bundle().publication())
+                        && bundle.version() == versionOf(mLogHead) + 1;
         return follows ? Optional.empty() : Optional.of("its parent is not in force");
     }
 }
--- a/core/src/main/java/org/boragegap/core/bundle/BundleRecord.java
+++ b/core/src/main/java/org/boragegap/core/bundle/BundleRecord.java
@@ -1,12 +1,18 @@
 package org.boragegap.core.bundle;
 
+import org.boragegap.core.log.LogItem;
+
 /**
- * A bundle on the log.
+ * A bundle as read from the log.
  *
+ * @param offset its place in the log's order
+ * @param appendedMs the log's own time of the append
  * @param kind whether it is published or stated again
+ * @param asOf a statement is true of the log up to this offset, which its author had read
  * @param bundle the bundle with the result of the checks
  */
-public record BundleRecord(Kind kind, CheckedBundle bundle) {
+public record BundleRecord(long offset, long appendedMs, Kind kind, long asOf, CheckedBundle bundle)
+        implements LogItem {
 
     /** How a record takes part in the order. */
     public enum Kind {
--- a/core/src/main/java/org/boragegap/core/claim/LoggedView.java
+++ b/core/src/main/java/org/boragegap/core/claim/LoggedView.java
@@ -1,5 +1,7 @@
 package org.boragegap.core.claim;
 
+import org.boragegap.core.log.LogItem;
+
 /**
  * A view record as read from the log.
  *
@@ -8,4 +10,5 @@
  * @param appendedMs the log's own time of the append
  * @param ageMs how long before the read it was appended, by the log's clock
  */
-public record LoggedView(long offset, ViewRecord record, long appendedMs, long ageMs) {}
+public record LoggedView(long offset, ViewRecord record, long appendedMs, long ageMs)
+        implements LogItem {}
--- a/core/src/main/java/org/boragegap/core/claim/ViewLog.java
+++ b/core/src/main/java/org/boragegap/core/claim/ViewLog.java
@@ -1,10 +1,7 @@
 package org.boragegap.core.claim;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.List;
 import java.util.Optional;
+import org.boragegap.core.log.ReadWindow;
 
 /**
  * Follows the view records of one failure domain in log order.
@@ -24,10 +21,8 @@
     private static final int PROMPT_SHARE_OF_RETENTION = 4;
 
     private final long mRetentionMs;
-    private final Deque<LoggedView> mKept = new ArrayDeque<>();
+    private final ReadWindow<LoggedView> mWindow = ReadWindow.create();
     private Optional<DomainView> mHead = Optional.empty();
-    private long mFirstOffset = UNKNOWN;
-    private long mKnownSinceMs;
     private long mStatedMs = UNKNOWN;
     private long mFloor = Long.MIN_VALUE;
     private boolean mHeadFromLog;
@@ -47,7 +42,7 @@
 
     /** True when no view record at all is left that this reader has seen. */
     boolean blank() {
-        return mKept.isEmpty();
+        return mWindow.blank();
     }
 
     /**
@@ -55,26 +50,20 @@
      * the log's retention before they were read here: what followed the head is unknown.
      */
     void readFrom(long firstOffset, long nowMs) {
-        if (firstOffset <= mFirstOffset) {
-            return;
+        if (mWindow.readFrom(firstOffset, nowMs)) {
+            mHead = Optional.empty();
+            mHeadFromLog = false;
         }
-        mHead = Optional.empty();
-        mHeadFromLog = false;
-        mKept.clear();
-        mFirstOffset = firstOffset;
-        mKnownSinceMs = firstOffset == 0 ? Long.MIN_VALUE : nowMs;
     }
 
     /** Forgets records that have left the log, for {@link #blank()}. */
     void forgetBefore(long appendedMs) {
-        while (!mKept.isEmpty() && mKept.peekFirst().appendedMs() < appendedMs) {
-            mKept.pollFirst();
-        }
+        mWindow.forgetBefore(appendedMs);
     }
 
     /** Applies a record; true when it made or confirmed the head. */
     boolean apply(LoggedView logged) {
-        mKept.addLast(logged);
+        mWindow.add(logged);
         if (logged.record().kind() == ViewRecord.Kind.STATED) {
             return applyStatement(logged);
         }
@@ -125,7 +114,7 @@
 
     private boolean follows(DomainView view, long appendedMs) {
         if (view.parentUid() == DomainView.NO_PARENT) {
-            boolean free = mHead.isEmpty() ? aloneAt(appendedMs) : lapsedAt(appendedMs);
+            boolean free = mHead.isEmpty() ? mWindow.newestIsAlone() : lapsedAt(appendedMs);
             return free && prompt(view, appendedMs) && view.number() > mFloor;
         }
         return mHead.isPresent()
@@ -133,14 +122,6 @@
                 && view.number() == mHead.get().number() + 1;
     }
 
-    /**
-     * True when no other view record was on the log at the time of the newest one. Only a reader
-     * that was there before can tell: for a later one, what spoke against it may have left the log.
-     */
-    private boolean aloneAt(long appendedMs) {
-        return mKept.size() == 1 && appendedMs >= mKnownSinceMs;
-    }
-
     /**
      * Guards against a first view whose append took effect long after it was written: its coverage
      * would miss the claims made in between. Such a view is numbered by the time it was written.
@@ -155,7 +136,7 @@
             return confirm(logged);
         }
         boolean newer = mHead.isEmpty() || view.number() > mHead.get().number();
-        boolean known = logged.record().asOf() >= mFirstOffset - 1;
+        boolean known = mWindow.covers(logged.record().asOf());
         if (!newer || !known || !mayFollowFloor(view)) {
             return false;
         }
@@ -176,9 +157,7 @@
     private void restartFrom(LoggedView statement) {
         install(statement.record().view(), statement.appendedMs());
         mHeadFromLog = true;
-        List<LoggedView> since = new ArrayList<>(mKept);
-        since.removeIf(logged -> logged.offset() <= statement.record().asOf());
-        for (LoggedView logged : since) {
+        for (LoggedView logged : mWindow.since(statement.record().asOf())) {
             if (logged.record().kind() == ViewRecord.Kind.PROPOSED) {
                 applyProposal(logged);
             }
--- a/core/src/main/java/org/boragegap/core/dispatch/Action.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/Action.java
@@ -104,8 +104,9 @@
      * States the bundle in force on the platform's log again.
      *
      * @param bundle the bundle
+     * @param asOf offset up to which the log had been read
      */
-    record RestateBundle(Bundle bundle) implements Action {}
+    record RestateBundle(Bundle bundle, long asOf) implements Action {}
 
     /**
      * Tells a peer which bundle is in force.
--- a/core/src/main/java/org/boragegap/core/dispatch/BundleCourier.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/BundleCourier.java
@@ -8,20 +8,23 @@
 import org.boragegap.core.bundle.BundleChain;
 import org.boragegap.core.bundle.BundleRecord;
 import org.boragegap.core.claim.ClaimLimits;
+import org.boragegap.core.claim.LogBatch;
 
 /** Brings the bundle in force to other VMs and keeps it on the log. */
 final class BundleCourier {
     private static final long PASS_EVERY_MS = 1_000;
 
-    private final BundleChain mChain = BundleChain.create();
+    private final BundleChain mChain;
     private final List<String> mDomains;
     private final Set<String> mSelf;
     private final ClaimLimits mLimits;
     private final Counters mCounters;
+    private long mReadUpTo = -1;
     private long mPassedMs = Long.MIN_VALUE / 2;
     private long mStatedMs = Long.MIN_VALUE / 2;
 
     BundleCourier(List<String> domains, String self, ClaimLimits limits, Counters counters) {
+        mChain = BundleChain.create(limits.retentionMs());
         mDomains = domains;
         mSelf = Set.of(self);
         mLimits = limits;
@@ -32,13 +35,15 @@
         return mChain;
     }
 
-    void onLogRead(List<BundleRecord> records, ClockReading clock) {
+    void onLogRead(LogBatch batch, List<BundleRecord> records, ClockReading clock) {
+        mChain.readFrom(batch.firstOffset(), batch.nowMs());
         for (BundleRecord record : records) {
             mChain.apply(record, clock.wallMs());
             if (record.bundle().bundle().version() == mChain.version()) {
                 mStatedMs = clock.monotonicMs();
             }
         }
+        mReadUpTo = batch.nextOffset() - 1;
     }
 
     void onTick(EntryVms peers, ClockReading clock, List<Action> out) {
@@ -69,11 +74,12 @@
 
     /** The log keeps records for a limited time, so the bundle in force is stated again. */
     private void restate(Bundle bundle, ClockReading clock, List<Action> out) {
-        if (clock.monotonicMs() - mStatedMs < mLimits.restateMs()) {
+        boolean due = clock.monotonicMs() - mStatedMs >= mLimits.restateMs();
+        if (!due || !mChain.inForceFromLog()) {
             return;
         }
         mStatedMs = clock.monotonicMs();
         mCounters.add(Counters.Name.APPENDS);
-        out.add(new Action.RestateBundle(bundle));
+        out.add(new Action.RestateBundle(bundle, mReadUpTo));
     }
 }
--- a/core/src/main/java/org/boragegap/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/Dispatcher.java
@@ -111,7 +111,7 @@
             onCancelled(cancelled, clock, out);
         } else if (event instanceof Event.LogRead read) {
             mClaims.onLog(read.batch(), clock, mClaimActions);
-            mBundles.onLogRead(read.bundles(), clock);
+            mBundles.onLogRead(read.batch(), read.bundles(), clock);
         } else if (event instanceof Event.BundlePassedOn passed) {
             mBundles.chain().adopt(passed.bundle(), clock.wallMs());
         } else if (event instanceof Event.VmsListed listed) {
--- a/core/src/main/java/org/boragegap/core/dispatch/Job.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/Job.java
@@ -109,12 +109,9 @@
         mQueued.addFirst(task);
     }
 
-    /** Keeps a task's result; a second one for the same task is ignored. */
     void result(TaskSpec task, String result) {
-        if (mResults[task.index()] == null) {
-            mResults[task.index()] = result;
-            mMissing--;
-        }
+        mResults[task.index()] = result;
+        mMissing--;
     }
 
     boolean allResults() {
--- a/core/src/main/java/org/boragegap/core/dispatch/JobBoard.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/JobBoard.java
@@ -284,7 +284,9 @@
         mAttempts.put(id, new Attempt(job, task, place));
         mRunningByTeam.merge(submission.team(), 1, Integer::sum);
         mQueue.served(job, workMs, mBundle.get().team(submission.team()).weight());
-        mRetries.onFirstTry();
+        if (job.avoided(task).isEmpty()) {
+            mRetries.onFirstTry();
+        }
         mCounters.add(Counters.Name.STARTS);
         long startByMs = clock.monotonicMs() + mSettings.startGraceMs();
         long timeoutMs = timeoutMs(submission, workMs, clock);
--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/dispatch/DispatcherTest.java
@@ -0,0 +1,388 @@
+package org.boragegap.core.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.boragegap.core.ClockReading;
+import org.boragegap.core.bundle.Bundle;
+import org.boragegap.core.bundle.BundleContent;
+import org.boragegap.core.bundle.CheckedBundle;
+import org.boragegap.core.claim.ClaimLimits;
+import org.boragegap.core.claim.Member;
+import org.boragegap.core.job.Answer;
+import org.boragegap.core.job.FailureKind;
+import org.boragegap.core.job.Need;
+import org.boragegap.core.job.Outcome;
+import org.boragegap.core.job.RefusalCause;
+import org.boragegap.core.job.Submission;
+import org.boragegap.core.job.SubmissionId;
+import org.boragegap.core.job.TaskSpec;
+import org.boragegap.core.limit.TeamQuota;
+import org.boragegap.core.membership.ListedVm;
+import org.boragegap.core.membership.VmKind;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** One dispatcher alone, with targets whose answers are made up by the tests. */
+final class DispatcherTest {
+    private static final String DOMAIN = "fd";
+    private static final long WALL_MS = 1_800_000_000_000L;
+    private static final Need ROOM = new Need(4_000, 4_000, 1);
+    private static final Need SMALL = new Need(1_000, 100, 0);
+
+    private final Dispatcher mDispatcher =
+            Dispatcher.create(
+                    new Member("vm:1", 1),
+                    DispatchSettings.usual(DOMAIN, List.of(DOMAIN)),
+                    ClaimLimits.defaults(),
+                    new SplittableRandom(1));
+    private long mNowMs = 1_000;
+    private int mNextId;
+
+    @BeforeEach
+    void list() {
+        list(false);
+    }
+
+    private void list(boolean secondMinionLeaving) {
+        List<ListedVm> vms = new ArrayList<>();
+        vms.add(new ListedVm("w:1", DOMAIN, VmKind.WORKER, "", false, ROOM, 64));
+        vms.add(new ListedVm("w:2", DOMAIN, VmKind.WORKER, "", false, ROOM, 64));
+        vms.add(new ListedVm("m:1", DOMAIN, VmKind.MINION, "billing", false, Need.NONE, 8));
+        vms.add(
+                new ListedVm(
+                        "m:2",
+                        DOMAIN,
+                        VmKind.MINION,
+                        "billing",
+                        secondMinionLeaving,
+                        Need.NONE,
+                        8));
+        on(new Event.VmsListed(vms));
+    }
+
+    private List<Action> on(Event event) {
+        List<Action> actions = new ArrayList<>();
+        mDispatcher.on(event, new ClockReading(mNowMs, WALL_MS + mNowMs), actions);
+        return actions;
+    }
+
+    private List<Action> pass(long ms) {
+        mNowMs += ms;
+        return on(new Event.Ticked());
+    }
+
+    private Submission submission(
+            Optional<String> service, boolean idempotent, int tasks, Need need) {
+        List<TaskSpec> specs = new ArrayList<>();
+        for (int i = 0; i < tasks; i++) {
+            specs.add(new TaskSpec(i, need, 100, ""));
+        }
+        String text = "id" + mNextId++;
+        SubmissionId id = new SubmissionId(text, WALL_MS, Optional.of(DOMAIN), Optional.of("vm:1"));
+        long deadlineMs = WALL_MS + mNowMs + 10_000;
+        return new Submission(id, "team", "kind", service, idempotent, deadlineMs, specs, 1);
+    }
+
+    private List<Action> submit(Submission submission) {
+        return on(new Event.Submitted(new CallerRef.HttpCaller(mNextId), submission, true, 0));
+    }
+
+    private static List<Action.Start> starts(List<Action> actions) {
+        return actions.stream()
+                .filter(action -> action instanceof Action.Start)
+                .map(action -> (Action.Start) action)
+                .toList();
+    }
+
+    private static Optional<Answer> answer(List<Action> actions) {
+        return actions.stream()
+                .filter(action -> action instanceof Action.Reply)
+                .map(action -> ((Action.Reply) action).answer())
+                .findFirst();
+    }
+
+    private static Answer.Failed failure(List<Action> actions) {
+        return (Answer.Failed) answer(actions).orElseThrow();
+    }
+
+    private List<Action> end(Action.Start start, Outcome outcome) {
+        return on(new Event.AttemptEnded(start.attempt(), outcome));
+    }
+
+    private static Outcome done(Action.Start start) {
+        return new Outcome.Succeeded("r" + start.task().index(), 100, SMALL);
+    }
+
+    @Nested
+    final class Answers {
+        /**
+         * Results of a job come doubled and out of order, as after a reconnect. The answer has each
+         * result once, in order, and only when all are there.
+         */
+        @Test
+        void aJobIsAnsweredWholeOnceAllResultsAreThere() {
+            List<Action.Start> starts =
+                    starts(submit(submission(Optional.empty(), false, 3, SMALL)));
+            assertThat(starts).hasSize(3);
+            assertThat(answer(end(starts.get(2), done(starts.get(2))))).isEmpty();
+            assertThat(answer(end(starts.get(0), done(starts.get(0))))).isEmpty();
+            assertThat(answer(end(starts.get(0), done(starts.get(0))))).isEmpty();
+            assertThat(answer(end(starts.get(1), done(starts.get(1)))))
+                    .hasValue(new Answer.Complete(List.of("r0", "r1", "r2")));
+            assertThat(mDispatcher.counters().count(Counters.Name.LATE_RESULTS)).isEqualTo(1);
+        }
+
+        /** A worker dies with one task of a job: the job fails at once and the rest is stopped. */
+        @Test
+        void aLostTaskFailsTheWholeJobWithDoubt() {
+            List<Action.Start> starts =
+                    starts(submit(submission(Optional.empty(), true, 2, SMALL)));
+            List<Action> after = end(starts.get(0), new Outcome.Lost("worker died"));
+            assertThat(failure(after).kind()).isEqualTo(FailureKind.MAY_HAVE_RUN);
+            assertThat(after.stream().anyMatch(action -> action instanceof Action.Stop)).isTrue();
+            assertThat(starts(pass(50))).isEmpty();
+        }
+
+        @Test
+        void whatWasNotStartedByTheDeadlineIsAnsweredAsNotRun() {
+            for (int i = 0; i < 8; i++) {
+                submit(submission(Optional.empty(), false, 1, SMALL));
+            }
+            List<Action> queued = submit(submission(Optional.empty(), false, 1, SMALL));
+            assertThat(starts(queued)).isEmpty();
+            List<Answer.Failed> failures =
+                    pass(10_001).stream()
+                            .filter(action -> action instanceof Action.Reply)
+                            .map(action -> (Answer.Failed) ((Action.Reply) action).answer())
+                            .toList();
+            assertThat(failures).hasSize(9);
+            assertThat(failures.stream().filter(f -> f.kind() == FailureKind.NOT_RUN).count())
+                    .isEqualTo(1);
+        }
+    }
+
+    @Nested
+    final class Impossible {
+        @Test
+        void aTaskLargerThanAnyWorkerFailsAtOnce() {
+            Need huge = new Need(5_000, 10, 0);
+            Answer.Failed failure = failure(submit(submission(Optional.empty(), false, 1, huge)));
+            assertThat(failure.kind()).isEqualTo(FailureKind.IMPOSSIBLE);
+            assertThat(failure.reason()).contains("more than any worker has");
+        }
+
+        @Test
+        void aTeamWithQuotaZeroIsToldSo() {
+            BundleContent content =
+                    new BundleContent(Map.of("team", new TeamQuota(0, 1)), Map.of());
+            Bundle bundle = new Bundle(1, "", "p", "", List.of());
+            on(new Event.BundlePassedOn(CheckedBundle.good(bundle, content)));
+            Answer.Failed failure = failure(submit(submission(Optional.empty(), false, 1, SMALL)));
+            assertThat(failure.kind()).isEqualTo(FailureKind.IMPOSSIBLE);
+        }
+    }
+
+    @Nested
+    final class Requests {
+        private Submission billing(boolean idempotent) {
+            return submission(Optional.of("billing"), idempotent, 1, Need.NONE);
+        }
+
+        /**
+         * A meter billing's connection goes silent after the bytes were written. Whether the
+         * household was billed is not known, so it is not sent again and its caller is told so.
+         */
+        @Test
+        void aNonIdempotentRequestIsSentOnce() {
+            Action.Start start = starts(submit(billing(false))).get(0);
+            List<Action> after = end(start, new Outcome.Lost("silent"));
+            assertThat(starts(after)).isEmpty();
+            assertThat(failure(after).kind()).isEqualTo(FailureKind.MAY_HAVE_RUN);
+        }
+
+        @Test
+        void anIdempotentRequestIsSentToAnotherMinion() {
+            Action.Start start = starts(submit(billing(true))).get(0);
+            Action.Start again = starts(end(start, new Outcome.Lost("silent"))).get(0);
+            assertThat(again.target().address()).isNotEqualTo(start.target().address());
+        }
+
+        @Test
+        void aRefusedRequestGoesElsewhereWhateverItIs() {
+            Action.Start start = starts(submit(billing(false))).get(0);
+            Outcome busy = new Outcome.NotRun(RefusalCause.BUSY, "full");
+            Action.Start again = starts(end(start, busy)).get(0);
+            assertThat(again.target().address()).isNotEqualTo(start.target().address());
+        }
+
+        /** Every first try is lost, as in a cut: the budget bounds how much is sent again. */
+        @Test
+        void retriesAreBoundedByTheBudget() {
+            int retries = 0;
+            for (int i = 0; i < 100; i++) {
+                for (Action.Start first : starts(submit(billing(true)))) {
+                    for (Action.Start retry : starts(end(first, new Outcome.Lost("cut")))) {
+                        retries++;
+                        end(retry, done(retry));
+                    }
+                }
+                pass(1_000);
+            }
+            assertThat(retries).isAtLeast(10);
+            assertThat(retries).isAtMost(20);
+        }
+    }
+
+    @Nested
+    final class LeavingTargets {
+        private Map<String, Integer> placed(int count) {
+            Map<String, Integer> placed = new HashMap<>();
+            for (int i = 0; i < count; i++) {
+                Submission request = submission(Optional.of("billing"), false, 1, Need.NONE);
+                for (Action.Start start : starts(submit(request))) {
+                    placed.merge(start.target().address(), 1, Integer::sum);
+                    end(start, done(start));
+                }
+            }
+            return placed;
+        }
+
+        @Test
+        void aMinionListedAsLeavingGetsNothing() {
+            list(true);
+            assertThat(placed(40)).doesNotContainKey("m:2");
+        }
+
+        /** The list lags and still shows the minion; its own word goes first, and stays. */
+        @Test
+        void aMinionThatSaysItLeavesGetsNothingMore() {
+            Submission request = submission(Optional.of("billing"), false, 1, Need.NONE);
+            Action.Start start = starts(submit(request)).get(0);
+            end(start, new Outcome.NotRun(RefusalCause.LEAVING, "leaving"));
+            list(false);
+            assertThat(placed(40)).doesNotContainKey(start.target().address());
+        }
+    }
+
+    @Nested
+    final class BadWorkers {
+        /**
+         * A worker fails everything at once, so it always looks idle. After a few failures it gets
+         * nothing but one probe at a time, with growing pauses, and it comes back when it works.
+         */
+        @Test
+        void aWorkerThatFailsEverythingIsQuarantined() {
+            int atBadWorker = 0;
+            for (int i = 0; i < 200; i++) {
+                for (Action.Start start :
+                        starts(submit(submission(Optional.empty(), false, 1, SMALL)))) {
+                    boolean bad = start.target().address().equals("w:1");
+                    atBadWorker += bad ? 1 : 0;
+                    end(start, bad ? new Outcome.Failed("broken") : done(start));
+                }
+                pass(50);
+            }
+            assertThat(atBadWorker).isAtMost(9);
+            int afterMending = 0;
+            for (int i = 0; i < 100; i++) {
+                for (Action.Start start :
+                        starts(submit(submission(Optional.empty(), false, 1, SMALL)))) {
+                    afterMending += start.target().address().equals("w:1") ? 1 : 0;
+                    end(start, done(start));
+                }
+                pass(500);
+            }
+            assertThat(afterMending).isAtLeast(20);
+        }
+    }
+
+    @Nested
+    final class Learning {
+        /** Tasks use three times what they declare; after a while the workers aren't overfilled. */
+        @Test
+        void needsAreLearnedFromWhatWasUsed() {
+            Need used = new Need(3_000, 300, 0);
+            for (int i = 0; i < 10; i++) {
+                for (Action.Start start :
+                        starts(submit(submission(Optional.empty(), false, 1, SMALL)))) {
+                    end(start, new Outcome.Succeeded("r", 100, used));
+                }
+            }
+            assertThat(starts(submit(submission(Optional.empty(), false, 8, SMALL)))).hasSize(2);
+        }
+    }
+
+    @Nested
+    final class Cancelling {
+        /** A wave of cancellations, each twice: queued tasks never start, and it costs little. */
+        @Test
+        void aCancelledJobStartsNothingMore() {
+            List<Submission> all = new ArrayList<>();
+            for (int i = 0; i < 50; i++) {
+                Submission submission = submission(Optional.empty(), false, 4, SMALL);
+                submit(submission);
+                all.add(submission);
+            }
+            for (Submission submission : all) {
+                on(new Event.Cancelled(submission.id(), 0));
+                on(new Event.Cancelled(submission.id(), 0));
+            }
+            assertThat(starts(pass(50))).isEmpty();
+            assertThat(mDispatcher.state(new ClockReading(mNowMs, WALL_MS)).queuedTasks())
+                    .isEqualTo(0);
+        }
+    }
+
+    @Nested
+    final class Overload {
+        /** More comes than fits before the deadlines: the rest is refused at once, spread out. */
+        @Test
+        void whatCannotMakeItsDeadlineIsRefusedAtOnce() {
+            List<Long> comeBack = new ArrayList<>();
+            for (int i = 0; i < 20_000 && comeBack.size() < 50; i++) {
+                List<Action> actions = submit(submission(Optional.empty(), false, 4, SMALL));
+                answer(actions).ifPresent(a -> comeBack.add(((Answer.Failed) a).retryAfterMs()));
+            }
+            assertThat(comeBack).hasSize(50);
+            assertThat(comeBack.stream().distinct().count()).isAtLeast(40);
+        }
+    }
+
+    @Nested
+    final class Drains {
+        @Test
+        void aDrainEndsWhenAllIsAnswered() {
+            Action.Start start =
+                    starts(submit(submission(Optional.empty(), false, 1, SMALL))).get(0);
+            on(new Event.DrainAsked(5_000));
+            on(new Event.DrainAsked(5_000));
+            assertThat(failure(submit(submission(Optional.empty(), false, 1, SMALL))).kind())
+                    .isEqualTo(FailureKind.NOT_RUN);
+            assertThat(drained(pass(50))).isEmpty();
+            end(start, done(start));
+            assertThat(drained(pass(50))).hasSize(1);
+            assertThat(drained(pass(50))).isEmpty();
+        }
+
+        /** A straggler outlasts the bound: its caller gets an answer, and isn't cut off. */
+        @Test
+        void atTheBoundWhatIsLeftIsAnsweredAsFailed() {
+            submit(submission(Optional.empty(), false, 1, SMALL));
+            on(new Event.DrainAsked(5_000));
+            List<Action> actions = pass(5_001);
+            assertThat(failure(actions).kind()).isEqualTo(FailureKind.MAY_HAVE_RUN);
+            assertThat(drained(actions)).containsExactly(new Action.Drained(1, 1));
+        }
+
+        private List<Action> drained(List<Action> actions) {
+            return actions.stream().filter(action -> action instanceof Action.Drained).toList();
+        }
+    }
+}
--- a/entry/src/main/java/org/boragegap/entry/ActionRunner.java
+++ b/entry/src/main/java/org/boragegap/entry/ActionRunner.java
@@ -82,7 +82,9 @@
         } else if (action instanceof Action.AppendView append) {
             append(new LogEntry.View(append.record()));
         } else if (action instanceof Action.RestateBundle restate) {
-            append(new LogEntry.Configuration(BundleRecord.Kind.STATED, restate.bundle()));
+            append(
+                    new LogEntry.Configuration(
+                            BundleRecord.Kind.STATED, restate.asOf(), restate.bundle()));
         } else if (action instanceof Action.Drained drained) {
             mDrained.accept(drained);
         }
--- a/entry/src/main/java/org/boragegap/entry/BundleDesk.java
+++ b/entry/src/main/java/org/boragegap/entry/BundleDesk.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.boragegap.core.bundle.Bundle;
+import org.boragegap.core.bundle.BundleChain;
 import org.boragegap.core.bundle.BundleRecord;
 import org.boragegap.core.bundle.CheckedBundle;
 import org.boragegap.core.dispatch.Dispatcher;
@@ -83,7 +84,7 @@
             refuse(in, BAD_REQUEST, checked.problem());
             return;
         }
-        LogEntry entry = new LogEntry.Configuration(BundleRecord.Kind.PUBLISHED, bundle);
+        LogEntry entry = new LogEntry.Configuration(BundleRecord.Kind.PUBLISHED, -1, bundle);
         long untilMs = HttpCaller.nowMs() + WAIT_MS;
         mLog.append(entry, acknowledged -> awaitVerdict(in, bundle, untilMs));
     }
@@ -95,7 +96,7 @@
     }
 
     private void onVerdict(HttpIn in, Bundle bundle, long untilMs, Optional<String> verdict) {
-        if (verdict.isPresent() && verdict.get().equals("accepted")) {
+        if (verdict.isPresent() && BundleChain.accepted(verdict.get())) {
             in.reply(OK, "{\"accepted\":true,\"version\":" + bundle.version() + "}");
         } else if (verdict.isPresent()) {
             refuse(in, CONFLICT, verdict.get());
--- a/entry/src/main/java/org/boragegap/entry/LogFollower.java
+++ b/entry/src/main/java/org/boragegap/entry/LogFollower.java
@@ -99,7 +99,11 @@
             } else if (entry instanceof LogEntry.Configuration configuration) {
                 bundles.add(
                         new BundleRecord(
-                                configuration.kind(), mChecker.check(configuration.bundle())));
+                                item.offset(),
+                                item.atMs(),
+                                configuration.kind(),
+                                configuration.asOf(),
+                                mChecker.check(configuration.bundle())));
             }
         } catch (PlatformException e) {
             // Other users of the log, or a later version of this system, may write there too.
