Hostile input: a frame of a few bytes could take the process down; mended

Cause: the MessagePack mapper sets aside as much memory as a string's header announces, up to 2 GB, before it reads. A property test with random bytes ended its own JVM with 'Java heap space'. A frame that ends too early was reported by an unchecked exception. Frames are skipped through first, which sets nothing aside; both are one WireException now, and the connection is closed. Ruled out: the frame's own length limit (16 MiB); the lie is inside the frame.

--- /dev/null
+++ b/entry/src/test/java/org/boragegap/entry/BodyReaderProperties.java
@@ -0,0 +1,78 @@
+package org.boragegap.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Optional;
+import java.util.UUID;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.StringLength;
+import org.boragegap.core.job.SubmissionId;
+import org.junit.jupiter.api.Test;
+
+/** Bodies that callers send: good ones become submissions, all others one clear error. */
+final class BodyReaderProperties {
+    private static final String GOOD =
+            "{\"team\":\"t\",\"kind\":\"k\",\"tasks\":[{\"cpuMillis\":1,\"payload\":\"p\"}]}";
+    private static final UUID MINTED = UUID.fromString("01a23802-8786-7626-9936-5e40b504384d");
+
+    private final BodyReader mReader =
+            new BodyReader(3, () -> SubmissionId.mint("fd", "127.0.0.1:1", MINTED));
+
+    private String errorOf(String body) {
+        try {
+            mReader.read(body, Optional.empty(), Optional.empty(), 0);
+            return "";
+        } catch (BodyReader.BadBodyException e) {
+            return e.getMessage();
+        }
+    }
+
+    @Property(tries = 2_000, seed = "11")
+    void anyTextIsASubmissionOrOneLine(@ForAll @StringLength(max = 300) String text) {
+        assertThat(errorOf(text)).doesNotContain("\n");
+    }
+
+    @Property(tries = 2_000, seed = "12")
+    void aGoodBodyWithOneCharacterChangedIsASubmissionOrOneLine(
+            @ForAll int position, @ForAll char replacement) {
+        int index = Math.floorMod(position, GOOD.length());
+        String changed = GOOD.substring(0, index) + replacement + GOOD.substring(index + 1);
+        assertThat(errorOf(changed)).doesNotContain("\n");
+    }
+
+    @Property(tries = 2_000, seed = "13")
+    void hostileIdsAreRefused(@ForAll @StringLength(max = 200) String id) {
+        try {
+            BodyReader.Good good = mReader.read(GOOD, Optional.empty(), Optional.of(id), 0);
+            assertThat(good.submission().id().text()).matches("[A-Za-z0-9._:~-]{1,128}");
+        } catch (BodyReader.BadBodyException e) {
+            assertThat(e).hasMessageThat().startsWith("id: ");
+        }
+    }
+
+    @Test
+    void errorsNameTheField() {
+        assertThat(errorOf("{")).startsWith("body: ");
+        assertThat(errorOf("null")).startsWith("body: ");
+        assertThat(errorOf("{\"kind\":\"k\"}")).startsWith("team: ");
+        assertThat(errorOf("{\"team\":\"t\",\"kind\":\"k\",\"tasks\":[]}"))
+                .isEqualTo("tasks: expected 1 to 3 tasks");
+        assertThat(errorOf(GOOD.replace("\"cpuMillis\":1", "\"cpuMillis\":-1")))
+                .startsWith("tasks[0].cpuMillis: expected");
+        assertThat(errorOf(GOOD.replace("\"team\"", "\"tean\""))).startsWith("body: ");
+        assertThat(errorOf(GOOD.replace("\"p\"", "[".repeat(40)))).startsWith("body: ");
+    }
+
+    @Test
+    void aResubmissionHasTheSameFingerprintWhateverItsTimeout() throws Exception {
+        String longer = GOOD.replace("{\"team\"", "{\"timeoutMs\":5,\"team\"");
+        long first = fingerprint(GOOD);
+        assertThat(fingerprint(longer)).isEqualTo(first);
+        assertThat(fingerprint(GOOD.replace("\"p\"", "\"q\""))).isNotEqualTo(first);
+    }
+
+    private long fingerprint(String body) throws Exception {
+        return mReader.read(body, Optional.empty(), Optional.empty(), 0).submission().fingerprint();
+    }
+}
--- /dev/null
+++ b/http/src/test/java/org/boragegap/http/HttpCallerTest.java
@@ -0,0 +1,163 @@
+package org.boragegap.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** What the client says of a request whose connection failed it, over real sockets. */
+final class HttpCallerTest {
+    private static final String HOST = "127.0.0.1";
+    private static final long PATIENCE_S = 10;
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+    private final HttpCaller mCaller = HttpCaller.create(2);
+
+    @BeforeEach
+    void start() throws IOException {
+        mCaller.start();
+    }
+
+    @AfterEach
+    void stop() {
+        mCaller.stop();
+    }
+
+    private CompletableFuture<HttpResult> post(ServerSocket server, long timeoutMs) {
+        CompletableFuture<HttpResult> result = new CompletableFuture<>();
+        String address = HOST + ":" + server.getLocalPort();
+        mCaller.send(HttpCall.post(address, "/x", "{}", timeoutMs, result::complete));
+        return result;
+    }
+
+    private static HttpResult get(CompletableFuture<HttpResult> result) throws Exception {
+        return result.get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    private static ServerSocket server() throws IOException {
+        return new ServerSocket(0, 8, InetAddress.getByName(HOST));
+    }
+
+    /** Reads a whole request with the body {@code {}}. */
+    private static void readRequest(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        StringBuilder text = new StringBuilder();
+        while (!text.toString().endsWith("\r\n\r\n{}")) {
+            text.append((char) in.read());
+        }
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        socket.getOutputStream().flush();
+    }
+
+    @Nested
+    final class Sent {
+        @Test
+        void aWholeResponseIsTaken() throws Exception {
+            try (ServerSocket server = server()) {
+                CompletableFuture<HttpResult> result = post(server, 5_000);
+                Socket socket = server.accept();
+                readRequest(socket);
+                write(socket, OK);
+                assertThat(((HttpResult.Response) get(result)).text()).isEqualTo("ok");
+                socket.close();
+            }
+        }
+
+        @Test
+        void aResponseThatIsCutShortIsLost() throws Exception {
+            try (ServerSocket server = server()) {
+                CompletableFuture<HttpResult> result = post(server, 5_000);
+                Socket socket = server.accept();
+                readRequest(socket);
+                write(socket, OK.substring(0, OK.length() - 1));
+                socket.close();
+                assertThat(get(result)).isInstanceOf(HttpResult.Lost.class);
+            }
+        }
+
+        /**
+         * A connection that has worked goes silent: the request is written and nothing comes back.
+         * It is lost when its time is over, is not sent again, and the next request goes over a new
+         * connection.
+         */
+        @Test
+        void aRequestOnASilentConnectionIsLostAndSentOnce() throws Exception {
+            try (ServerSocket server = server()) {
+                CompletableFuture<HttpResult> first = post(server, 5_000);
+                Socket socket = server.accept();
+                readRequest(socket);
+                write(socket, OK);
+                get(first);
+                CompletableFuture<HttpResult> second = post(server, 200);
+                readRequest(socket);
+                assertThat(get(second)).isInstanceOf(HttpResult.Lost.class);
+                assertThat(socket.getInputStream().read()).isEqualTo(-1);
+
+                CompletableFuture<HttpResult> third = post(server, 5_000);
+                Socket fresh = server.accept();
+                readRequest(fresh);
+                write(fresh, OK);
+                assertThat(get(third)).isInstanceOf(HttpResult.Response.class);
+                fresh.close();
+                socket.close();
+            }
+        }
+    }
+
+    @Nested
+    final class NotSent {
+        @Test
+        void aRefusedConnectionMeansNotSent() throws Exception {
+            ServerSocket server = server();
+            server.close();
+            assertThat(get(post(server, 5_000))).isInstanceOf(HttpResult.NotSent.class);
+        }
+
+        @Test
+        void noMoreConnectionsAreOpenedThanAllowed() throws Exception {
+            try (ServerSocket server = server()) {
+                List<CompletableFuture<HttpResult>> open = new ArrayList<>();
+                open.add(post(server, 5_000));
+                open.add(post(server, 5_000));
+                assertThat(get(post(server, 5_000))).isInstanceOf(HttpResult.NotSent.class);
+                for (int i = 0; i < open.size(); i++) {
+                    Socket socket = server.accept();
+                    readRequest(socket);
+                    write(socket, OK);
+                }
+                for (CompletableFuture<HttpResult> result : open) {
+                    assertThat(get(result)).isInstanceOf(HttpResult.Response.class);
+                }
+            }
+        }
+
+        /** The process was paused between the decision and the send, and wakes too late. */
+        @Test
+        void aRequestThatIsTooLateIsNotSent() throws Exception {
+            try (ServerSocket server = server()) {
+                CompletableFuture<HttpResult> result = new CompletableFuture<>();
+                String address = HOST + ":" + server.getLocalPort();
+                long past = HttpCaller.nowMs() - 1;
+                mCaller.send(
+                        new HttpCall(
+                                address, "POST", "/x", new byte[0], past, 5_000, result::complete));
+                assertThat(get(result)).isEqualTo(new HttpResult.NotSent("too late to send it"));
+            }
+        }
+    }
+}
--- a/wire/src/main/java/org/boragegap/wire/PeerCodec.java
+++ b/wire/src/main/java/org/boragegap/wire/PeerCodec.java
@@ -9,6 +9,9 @@
 import org.boragegap.core.claim.ClaimMessage;
 import org.boragegap.core.job.Answer;
 import org.boragegap.core.placement.LoanMessage;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /** Turns peer messages into MessagePack and back. */
@@ -54,13 +57,26 @@
     /** Decodes a message. */
     public PeerMessage decode(byte[] bytes) throws WireException {
         try {
+            checkLengths(bytes);
             PeerMessage message = mMapper.readValue(bytes, PeerMessage.class);
             if (message == null) {
                 throw new WireException("frame holds no message", null);
             }
             return message;
-        } catch (IOException e) {
+        } catch (IOException | MessagePackException e) {
+            // MessagePack reports a frame that ends too early by an unchecked exception.
             throw new WireException("frame can't be decoded", e);
         }
     }
+
+    /**
+     * Guards against a frame that announces more than it holds: the mapper would set aside up to
+     * two gigabytes for a string of a few bytes, and the process would run out of memory. Skipping
+     * through the frame sets nothing aside and ends at the first length that lies.
+     */
+    private static void checkLengths(byte[] bytes) throws IOException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            unpacker.skipValue();
+        }
+    }
 }
--- /dev/null
+++ b/wire/src/test/java/org/boragegap/wire/PeerTransportTest.java
@@ -0,0 +1,176 @@
+package org.boragegap.wire;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.boragegap.core.claim.ClaimMessage;
+import org.boragegap.core.claim.Member;
+import org.boragegap.core.job.Answer;
+import org.boragegap.core.job.Submission;
+import org.boragegap.core.job.SubmissionId;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Connections among entry VMs, over real sockets. */
+final class PeerTransportTest {
+    private static final String HOST = "127.0.0.1";
+    private static final long PATIENCE_S = 10;
+
+    private final BlockingQueue<PeerMessage> mReceived = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Boolean> mLost = new LinkedBlockingQueue<>();
+    private PeerTransport mServer;
+    private PeerTransport mClient;
+    private String mAddress;
+
+    private final class Listener implements PeerListener {
+        @Override
+        public void onMessage(long link, PeerMessage message) {
+            mReceived.add(message);
+            if (message instanceof PeerMessage.Forward forward) {
+                Answer answer = new Answer.Complete(List.of("r"));
+                mServer.answer(link, new PeerMessage.ForwardAnswer(forward.forwardId(), answer));
+            }
+        }
+
+        @Override
+        public void onLost(String address, PeerMessage message, boolean sent) {
+            mLost.add(sent);
+        }
+    }
+
+    @BeforeEach
+    void start() throws IOException {
+        int port = freePort();
+        mAddress = HOST + ":" + port;
+        mServer = PeerTransport.create(HOST, port, new Listener());
+        mServer.start();
+        mClient = PeerTransport.create(HOST, freePort(), new Listener());
+        mClient.start();
+    }
+
+    @AfterEach
+    void stop() {
+        mClient.stop();
+        mServer.stop();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static PeerMessage.Forward forward(long id) {
+        SubmissionId sid = new SubmissionId("id", 1, Optional.of("fd"), Optional.empty());
+        Submission submission =
+                new Submission(sid, "t", "k", Optional.empty(), false, 9, List.of(), 3);
+        return new PeerMessage.Forward(id, submission, 1);
+    }
+
+    private PeerMessage receive() throws InterruptedException {
+        PeerMessage message = mReceived.poll(PATIENCE_S, TimeUnit.SECONDS);
+        assertWithMessage("a message").that(message).isNotNull();
+        return message;
+    }
+
+    @Nested
+    final class Messages {
+        @Test
+        void aForwardIsAnsweredOverItsOwnConnection() throws Exception {
+            mClient.send(mAddress, forward(5));
+            assertThat(receive()).isEqualTo(forward(5));
+            assertThat(receive())
+                    .isEqualTo(new PeerMessage.ForwardAnswer(5, new Answer.Complete(List.of("r"))));
+        }
+
+        @Test
+        void whatCannotBeSentIsReportedAsUnsent() throws Exception {
+            mClient.send(HOST + ":" + freePort(), forward(6));
+            assertThat(mLost.poll(PATIENCE_S, TimeUnit.SECONDS)).isFalse();
+        }
+    }
+
+    @Nested
+    final class HostileFrames {
+        /**
+         * Something that isn't a peer connects and sends garbage: lengths that lie, frames cut
+         * short, bytes that are no message. Its connection ends; others are untouched.
+         */
+        @Test
+        void garbageEndsOnlyItsOwnConnection() throws Exception {
+            mClient.send(mAddress, forward(1));
+            receive();
+            receive();
+            Random random = new Random(4);
+            for (int length : new int[] {-1, 0, Integer.MAX_VALUE, 64}) {
+                sendGarbage(length, random);
+            }
+            mClient.send(mAddress, forward(2));
+            assertThat(receive()).isEqualTo(forward(2));
+        }
+
+        private void sendGarbage(int length, Random random) throws IOException {
+            byte[] bytes = new byte[64];
+            random.nextBytes(bytes);
+            try (Socket socket = new Socket(HOST, PeerTransport.parse(mAddress).getPort())) {
+                socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_S));
+                DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+                out.writeInt(length);
+                out.write(bytes);
+                out.flush();
+                int read = readOrEnd(socket);
+                assertWithMessage("length %s", length).that(read).isEqualTo(-1);
+            }
+        }
+
+        private int readOrEnd(Socket socket) {
+            try {
+                return socket.getInputStream().read();
+            } catch (IOException e) {
+                return -1;
+            }
+        }
+    }
+
+    @Nested
+    final class SilentConnections {
+        /**
+         * Something between two VMs has lost track of their connection: it stays open and nothing
+         * comes back. The forward that waits on it is reported as lost, and the next message goes
+         * over a new connection.
+         */
+        @Test
+        void aConnectionWithoutPongsIsGivenUp() throws Exception {
+            try (ServerSocket silent = new ServerSocket(0, 8, InetAddress.getByName(HOST))) {
+                String address = HOST + ":" + silent.getLocalPort();
+                mClient.send(address, forward(9));
+                Socket first = silent.accept();
+                assertThat(first.getInputStream().read()).isAtLeast(0);
+                mClient.probe(1_000);
+                assertThat(mLost).isEmpty();
+                mClient.probe(3_001);
+                assertThat(mLost.poll(PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+                mClient.send(
+                        address,
+                        new PeerMessage.Claims(new Member("a:1", 1), new ClaimMessage.Join()));
+                Socket second = silent.accept();
+                assertThat(second.getInputStream().read()).isAtLeast(0);
+                first.close();
+                second.close();
+            }
+        }
+    }
+}
