Placement: an owner lends room on standing asks, and recalls what it needs

Change: an ask stands for 500 ms and is served when there is room; room goes back in batches; an owner recalls just what its own work waits for. Targets are drawn from an index of owned ones, eight looks at most. Among teams the job goes first that would be done at the least served time, so small jobs pass big ones within a team's fair share. With nothing else to do, the control thread sends a single message itself.

Ruled out: lending without recalls; fewer messages, but a small job waited up to a task's length and a term for its own VM's slots.

--- /dev/null
+++ b/app/src/main/java/org/boragegap/app/BenchCommand.java
@@ -0,0 +1,62 @@
+package org.boragegap.app;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.config.Configurator;
+
+/** Measures on embedded deployments; docs/MEASURING.md says what and how. */
+final class BenchCommand implements Command {
+    @Override
+    public String name() {
+        return "bench";
+    }
+
+    @Override
+    public String usage() {
+        return "path|load [OPTIONS]: measures on embedded stand-ins, prints one JSON object";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(valued("seed", "N", "load: seed of the arrivals; default 1"))
+                .addOption(valued("load", "PERCENT", "load: of the capacity; default 80"))
+                .addOption(valued("seconds", "N", "load: length of a run; default 20"))
+                .addOption(valued("faults", "true|false", "load: one VM and two targets fail"))
+                .addOption(valued("policy", "NAME", "load: usual, baseline or both; default both"));
+    }
+
+    private static Option valued(String name, String argument, String meaning) {
+        return Option.builder().longOpt(name).hasArg().argName(argument).desc(meaning).build();
+    }
+
+    @Override
+    public ExitCode run(CommandLine line) throws Exception {
+        Configurator.setRootLevel(Level.ERROR);
+        String what = line.getArgList().size() == 1 ? line.getArgList().get(0) : "";
+        Object result =
+                switch (what) {
+                    case "path" -> new PathRun().run();
+                    case "load" -> LoadComparison.run(loadOptions(line));
+                    default -> throw new UsageException("expected path or load");
+                };
+        System.out.println(new ObjectMapper().writeValueAsString(result));
+        return ExitCode.OK;
+    }
+
+    private static LoadComparison.Options loadOptions(CommandLine line) throws UsageException {
+        try {
+            return new LoadComparison.Options(
+                    Long.parseLong(line.getOptionValue("seed", "1")),
+                    Integer.parseInt(line.getOptionValue("load", "80")),
+                    Integer.parseInt(line.getOptionValue("seconds", "20")),
+                    Boolean.parseBoolean(line.getOptionValue("faults", "false")),
+                    line.getOptionValue("policy", "both"));
+        } catch (NumberFormatException e) {
+            throw new UsageException("--seed, --load and --seconds: expected whole numbers");
+        }
+    }
+}
--- a/app/src/main/java/org/boragegap/app/EmbeddedDeployment.java
+++ b/app/src/main/java/org/boragegap/app/EmbeddedDeployment.java
@@ -24,12 +24,7 @@
     private static final String HOST = "127.0.0.1";
     private static final String DOMAIN = "local";
     private static final String SERVICE = "catalogue";
-    private static final int ENTRIES = 2;
-    private static final int WORKERS = 4;
-    private static final int MINIONS = 4;
-    private static final int MINION_SLOTS = 8;
     private static final int WORKER_SLOTS = 64;
-    private static final Need WORKER_CAPACITY = new Need(16_000, 32_768, 2);
     private static final long RETENTION_MS = 3_600_000;
     private static final long READY_WITHIN_MS = 20_000;
     private static final long READY_CHECK_MS = 20;
@@ -42,21 +37,26 @@
     private final List<String> mOperators = new ArrayList<>();
     private final ScheduledExecutorService mTimer = Executors.newScheduledThreadPool(2);
 
-    private EmbeddedDeployment() throws IOException, EntryException {
+    private final DeploymentShape mShape;
+    private String mMinion = "";
+
+    private EmbeddedDeployment(DeploymentShape shape) throws IOException, EntryException {
+        mShape = shape;
         int logPort = LoopbackPorts.next();
         int listPort = LoopbackPorts.next();
         List<ListedVm> vms = new ArrayList<>();
-        for (int i = 0; i < WORKERS; i++) {
+        for (int i = 0; i < shape.workers(); i++) {
             int port = LoopbackPorts.next();
-            mTargets.add(TargetStandin.worker(HOST, port, WORKER_CAPACITY, WORKER_SLOTS, mTimer));
-            vms.add(target(port, VmKind.WORKER, "", WORKER_CAPACITY, WORKER_SLOTS));
+            mTargets.add(TargetStandin.worker(HOST, port, shape.worker(), WORKER_SLOTS, mTimer));
+            vms.add(target(port, VmKind.WORKER, "", shape.worker(), WORKER_SLOTS));
         }
-        for (int i = 0; i < MINIONS; i++) {
+        for (int i = 0; i < shape.minions(); i++) {
             int port = LoopbackPorts.next();
-            mTargets.add(TargetStandin.minion(HOST, port, MINION_SLOTS, mTimer));
-            vms.add(target(port, VmKind.MINION, SERVICE, Need.NONE, MINION_SLOTS));
+            mMinion = HOST + ":" + port;
+            mTargets.add(TargetStandin.minion(HOST, port, shape.minionSlots(), mTimer));
+            vms.add(target(port, VmKind.MINION, SERVICE, Need.NONE, shape.minionSlots()));
         }
-        for (int i = 0; i < ENTRIES; i++) {
+        for (int i = 0; i < shape.entries(); i++) {
             String peer = HOST + ":" + LoopbackPorts.next();
             mCallers.add(HOST + ":" + LoopbackPorts.next());
             mOperators.add(HOST + ":" + LoopbackPorts.next());
@@ -68,8 +68,8 @@
         mStandins.addAll(mTargets);
     }
 
-    static EmbeddedDeployment create() throws IOException, EntryException {
-        return new EmbeddedDeployment();
+    static EmbeddedDeployment create(DeploymentShape shape) throws IOException, EntryException {
+        return new EmbeddedDeployment(shape);
     }
 
     private static ListedVm target(
@@ -92,6 +92,7 @@
                         "log = " + HOST + ":" + logPort,
                         "vm_list = " + HOST + ":" + listPort,
                         "log_poll_ms = 100",
+                        mShape.settings(),
                         "");
         return ((Settings.Read.Good) Settings.parse("quickstart", text)).settings();
     }
@@ -126,6 +127,11 @@
         mTimer.shutdownNow();
     }
 
+    /** Stops one entry VM at once, as a crash would. */
+    void stopEntry(int number) {
+        mEntries.get(number).stop();
+    }
+
     List<String> callerAddresses() {
         return mCallers;
     }
@@ -138,6 +144,11 @@
         return mTargets;
     }
 
+    /** Address of the first minion. */
+    String minionAddress() {
+        return mMinion;
+    }
+
     String sampleCurl() {
         return "curl -s http://"
                 + mCallers.get(0)
--- /dev/null
+++ b/app/src/main/java/org/boragegap/app/LoadComparison.java
@@ -0,0 +1,35 @@
+package org.boragegap.app;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Runs the same load with the usual policies and with the baseline's, one after the other. */
+final class LoadComparison {
+    private static final String USUAL = "";
+    private static final String BASELINE =
+            "[policy]\nplacement = ROUND_ROBIN\norder = FIFO\n[limits]\nrefuse_hopeless = false";
+
+    /**
+     * What to run.
+     *
+     * @param seed seed of the arrivals
+     * @param loadPercent offered work over the capacity
+     * @param seconds length of a run
+     * @param faults whether one entry VM and two targets fail midway
+     * @param policy usual, baseline or both
+     */
+    record Options(long seed, int loadPercent, int seconds, boolean faults, String policy) {}
+
+    private LoadComparison() {}
+
+    static Map<String, LoadRun.Result> run(Options options) throws Exception {
+        Map<String, LoadRun.Result> results = new LinkedHashMap<>();
+        if (!options.policy().equals("baseline")) {
+            results.put("usual", new LoadRun(options, USUAL).run());
+        }
+        if (!options.policy().equals("usual")) {
+            results.put("baseline", new LoadRun(options, BASELINE).run());
+        }
+        return results;
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/boragegap/app/LoadRun.java
@@ -0,0 +1,241 @@
+package org.boragegap.app;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.Histogram;
+import org.boragegap.http.HttpCall;
+import org.boragegap.http.HttpCaller;
+import org.boragegap.http.HttpResult;
+import org.boragegap.standin.TargetMode;
+import org.boragegap.standin.TargetStandin;
+
+/** One open-loop run: jobs arrive at their planned times, whether earlier ones are done or not. */
+final class LoadRun {
+    private static final int CONNECTIONS = 2_048;
+    private static final long TIMEOUT_MS = 30_000;
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final double RATIO_UNIT = 1_000.0;
+    private static final List<String> WASTE =
+            List.of(
+                    "REFUSED_STARTS",
+                    "LOST_STARTS",
+                    "RETRIES",
+                    "LATE_RESULTS",
+                    "FORWARDS",
+                    "CLAIM_MESSAGES",
+                    "LOAN_MESSAGES",
+                    "BUNDLES_PASSED");
+
+    /**
+     * What a run gave.
+     *
+     * @param jobs jobs offered
+     * @param complete jobs with a whole answer
+     * @param refused jobs refused as not run
+     * @param failed other jobs
+     * @param startedTwice tasks that were started more than once
+     * @param ratioP50 response time over the ideal, median, of complete jobs
+     * @param ratioP99 99th percentile
+     * @param ratioP999 99.9th percentile
+     * @param goodputTaskSeconds seconds of task time in complete jobs, per second and core
+     * @param wastedPerUseful wasted messages per useful one
+     * @param wasted wasted messages by kind
+     * @param p99ByTeam 99th percentile of the ratio by team
+     */
+    record Result(
+            int jobs,
+            int complete,
+            int refused,
+            int failed,
+            long startedTwice,
+            double ratioP50,
+            double ratioP99,
+            double ratioP999,
+            double goodputTaskSeconds,
+            double wastedPerUseful,
+            Map<String, Long> wasted,
+            Map<String, Double> p99ByTeam) {}
+
+    private final LoadComparison.Options mOptions;
+    private final String mSettings;
+    private final ObjectMapper mMapper = new ObjectMapper();
+    private final Histogram mRatios = new Histogram(3);
+    private final Map<String, Histogram> mByTeam = new HashMap<>();
+    private final AtomicInteger mComplete = new AtomicInteger();
+    private final AtomicInteger mRefused = new AtomicInteger();
+    private final AtomicInteger mFailed = new AtomicInteger();
+    private long mCompleteWorkMs;
+
+    LoadRun(LoadComparison.Options options, String settings) {
+        mOptions = options;
+        mSettings = settings;
+    }
+
+    Result run() throws Exception {
+        DeploymentShape shape = DeploymentShape.load(mSettings);
+        EmbeddedDeployment deployment = EmbeddedDeployment.create(shape);
+        deployment.start();
+        HttpCaller http = HttpCaller.create(CONNECTIONS);
+        http.start();
+        LoadPlan warmUp = LoadPlan.create(mOptions.seed() + 1, 50, 5, cores(shape));
+        offer(deployment, http, warmUp, false);
+        Map<String, Long> before = counters(deployment);
+        LoadPlan plan =
+                LoadPlan.create(
+                        mOptions.seed(), mOptions.loadPercent(), mOptions.seconds(), cores(shape));
+        Thread faults = faults(deployment);
+        offer(deployment, http, plan, true);
+        faults.join();
+        Map<String, Long> after = counters(deployment);
+        Result result = result(deployment, plan, before, after, cores(shape));
+        http.stop();
+        deployment.stop();
+        return result;
+    }
+
+    private static int cores(DeploymentShape shape) {
+        return shape.workers() * shape.worker().cpuMillis() / 1_000;
+    }
+
+    private Thread faults(EmbeddedDeployment deployment) {
+        Thread thread =
+                new Thread(
+                        () -> {
+                            LockSupport.parkNanos(TimeUnit.SECONDS.toNanos(mOptions.seconds()) / 3);
+                            deployment.targets().get(0).mode(TargetMode.FAIL_ALL);
+                            deployment.targets().get(1).mode(TargetMode.DROP);
+                            deployment.stopEntry(0);
+                        });
+        if (mOptions.faults()) {
+            thread.start();
+        }
+        return thread;
+    }
+
+    private void offer(EmbeddedDeployment deployment, HttpCaller http, LoadPlan plan, boolean count)
+            throws InterruptedException {
+        List<String> callers = deployment.callerAddresses();
+        CountDownLatch left = new CountDownLatch(plan.jobs().size());
+        long startedNs = System.nanoTime();
+        int number = 0;
+        for (LoadPlan.Job job : plan.jobs()) {
+            long dueNs = startedNs + TimeUnit.MILLISECONDS.toNanos(job.atMs());
+            while (System.nanoTime() < dueNs) {
+                LockSupport.parkNanos(dueNs - System.nanoTime());
+            }
+            String address = callers.get(number++ % callers.size());
+            // Time counts from when the job was due, also if sending it was late.
+            send(http, address, job, dueNs, count, left);
+        }
+        left.await();
+    }
+
+    private void send(
+            HttpCaller http,
+            String address,
+            LoadPlan.Job job,
+            long dueNs,
+            boolean count,
+            CountDownLatch left) {
+        http.send(
+                HttpCall.post(
+                        address,
+                        "/v1/jobs",
+                        job.body(),
+                        TIMEOUT_MS,
+                        result -> {
+                            if (count) {
+                                record(job, result, dueNs);
+                            }
+                            left.countDown();
+                        }));
+    }
+
+    private synchronized void record(LoadPlan.Job job, HttpResult result, long dueNs) {
+        boolean answered = result instanceof HttpResult.Response;
+        int status = answered ? ((HttpResult.Response) result).status() : 0;
+        if (status == UNAVAILABLE) {
+            mRefused.incrementAndGet();
+        } else if (status != OK) {
+            mFailed.incrementAndGet();
+        } else {
+            double tookMs = (System.nanoTime() - dueNs) / 1e6;
+            long ratio = (long) (tookMs / job.idealMs() * RATIO_UNIT);
+            mComplete.incrementAndGet();
+            mCompleteWorkMs += job.workMs();
+            mRatios.recordValue(ratio);
+            mByTeam.computeIfAbsent(job.team(), team -> new Histogram(3)).recordValue(ratio);
+        }
+    }
+
+    private Map<String, Long> counters(EmbeddedDeployment deployment) throws Exception {
+        Map<String, Long> sums = new HashMap<>();
+        for (String operator : deployment.operatorAddresses()) {
+            String dump = Client.send(operator, "GET", "/dump", "", "").body();
+            JsonNode counters = mMapper.readTree(dump).path("counters");
+            counters.fields()
+                    .forEachRemaining(
+                            field ->
+                                    sums.merge(
+                                            field.getKey(), field.getValue().asLong(), Long::sum));
+        }
+        return sums;
+    }
+
+    private Result result(
+            EmbeddedDeployment deployment,
+            LoadPlan plan,
+            Map<String, Long> before,
+            Map<String, Long> after,
+            int cores) {
+        Map<String, Long> wasted = new TreeMap<>();
+        for (String name : WASTE) {
+            wasted.put(name, difference(name, before, after));
+        }
+        long useful =
+                2 * difference("STARTS", before, after)
+                        - 2 * wasted.get("REFUSED_STARTS")
+                        + 2 * difference("SUBMISSIONS", before, after);
+        long waste = wasted.values().stream().mapToLong(Long::longValue).sum();
+        Map<String, Double> byTeam = new TreeMap<>();
+        mByTeam.forEach((team, ratios) -> byTeam.put(team, percentile(ratios, 99)));
+        return new Result(
+                plan.jobs().size(),
+                mComplete.get(),
+                mRefused.get(),
+                mFailed.get(),
+                startedTwice(deployment),
+                percentile(mRatios, 50),
+                percentile(mRatios, 99),
+                percentile(mRatios, 99.9),
+                mCompleteWorkMs / 1e3 / mOptions.seconds() / cores,
+                (double) waste / Math.max(1, useful),
+                wasted,
+                byTeam);
+    }
+
+    private static long difference(String name, Map<String, Long> before, Map<String, Long> after) {
+        return Math.max(0, after.getOrDefault(name, 0L) - before.getOrDefault(name, 0L));
+    }
+
+    private static double percentile(Histogram ratios, double percentile) {
+        return ratios.getValueAtPercentile(percentile) / RATIO_UNIT;
+    }
+
+    private static long startedTwice(EmbeddedDeployment deployment) {
+        Map<String, Integer> starts = new HashMap<>();
+        for (TargetStandin target : deployment.targets()) {
+            target.starts().forEach((task, count) -> starts.merge(task, count.get(), Integer::sum));
+        }
+        return starts.values().stream().filter(count -> count > 1).count();
+    }
+}
--- a/app/src/main/java/org/boragegap/app/Main.java
+++ b/app/src/main/java/org/boragegap/app/Main.java
@@ -21,6 +21,7 @@
                     new OperateCommand("drain", "asks an entry VM to drain", "POST", "/drain"),
                     new OperateCommand("dump", "prints an entry VM's state", "GET", "/dump"),
                     new QuickstartCommand(),
+                    new BenchCommand(),
                     new StandinCommand(),
                     new VersionCommand());
 
--- a/app/src/main/java/org/boragegap/app/QuickstartCommand.java
+++ b/app/src/main/java/org/boragegap/app/QuickstartCommand.java
@@ -29,7 +29,7 @@
     @Override
     public ExitCode run(CommandLine line) throws Exception {
         Configurator.setRootLevel(Level.WARN);
-        EmbeddedDeployment deployment = EmbeddedDeployment.create();
+        EmbeddedDeployment deployment = EmbeddedDeployment.create(DeploymentShape.quickstart());
         deployment.start();
         SampleRun run = new SampleRun(deployment, !line.hasOption("json"));
         SampleRun.Summary summary = run.run();
--- /dev/null
+++ b/bench/src/main/java/org/boragegap/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Costs of single decisions of the core. */
+package org.boragegap.bench;
--- a/core/src/main/java/org/boragegap/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/Dispatcher.java
@@ -89,6 +89,7 @@
     /** Takes an event and appends the actions that follow from it. */
     public void on(Event event, ClockReading clock, List<Action> out) {
         handle(event, clock, out);
+        followView();
         settleClaims(clock, out);
         mJobs.pump(clock, out);
         settleClaims(clock, out);
@@ -201,16 +202,23 @@
         return mSiblings;
     }
 
+    /** A new view divides the targets anew. */
+    private void followView() {
+        long uid = mClaims.view().map(DomainView::uid).orElse(0L);
+        if (uid == mOwnersViewUid) {
+            return;
+        }
+        mOwnersViewUid = uid;
+        mOwners.clear();
+        mTargets.own(this::owns);
+    }
+
     /** Each target belongs to one member of the view, which alone accounts for its room. */
     private boolean owns(Target target) {
         Optional<DomainView> view = mClaims.view();
         if (view.isEmpty()) {
             return true;
         }
-        if (view.get().uid() != mOwnersViewUid) {
-            mOwnersViewUid = view.get().uid();
-            mOwners.clear();
-        }
         String owner = mOwners.get(target.address());
         if (owner == null) {
             List<String> members = view.get().members().stream().map(Member::address).toList();
--- a/core/src/main/java/org/boragegap/core/dispatch/Job.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/Job.java
@@ -46,6 +46,11 @@
         return mWorkMs;
     }
 
+    /** Expected run time of the tasks that are not started yet. */
+    double leftMs() {
+        return mWorkMs * mQueued.size() / mResults.length;
+    }
+
     long sequence() {
         return mSequence;
     }
--- a/core/src/main/java/org/boragegap/core/dispatch/JobBoard.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/JobBoard.java
@@ -438,7 +438,9 @@
     }
 
     void onTick(ClockReading clock, List<Action> out) {
-        mPlacer.onTick(mSiblings.get(), clock.monotonicMs());
+        List<LoanAction> loans = new ArrayList<>();
+        mPlacer.onTick(mSiblings.get(), clock.monotonicMs(), loans);
+        tell(loans, out);
         while (!mDeadlines.isEmpty() && mDeadlines.peek().wallMs() <= clock.wallMs()) {
             Job job = mDeadlines.poll().job();
             finish(job, givenUp(job, "the deadline has passed"), clock, out);
--- a/core/src/main/java/org/boragegap/core/dispatch/WorkQueue.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/WorkQueue.java
@@ -13,9 +13,10 @@
 /**
  * Jobs with tasks that wait for a target, a lane a team.
  *
- * <p>A lane's served time grows by the run time of what it starts, divided by the team's weight;
- * the lane with the least goes first. A lane that was empty starts at the others' level, so idle
- * time can't be saved up.
+ * <p>A lane's served time grows by the run time of what it starts, divided by the team's weight.
+ * The lane goes first whose first job would be done at the least served time, so small jobs pass
+ * big ones as long as their team isn't ahead of the others by more than that. A lane that was empty
+ * starts at the others' level, so idle time can't be saved up.
  */
 final class WorkQueue {
     private static final class Lane {
@@ -68,10 +69,14 @@
         }
         Comparator<Lane> urgentFirst =
                 Comparator.comparing(lane -> !mUrgent.test(lane.mJobs.peek()));
-        lanes.sort(urgentFirst.thenComparingDouble(lane -> lane.mServedMs));
+        lanes.sort(urgentFirst.thenComparingDouble(WorkQueue::finishMs));
         return lanes.stream().map(lane -> lane.mJobs.peek()).toList();
     }
 
+    private static double finishMs(Lane lane) {
+        return lane.mServedMs + lane.mJobs.peek().leftMs();
+    }
+
     /** Up to {@code most} jobs behind a lane's first one, for when the first one finds no room. */
     List<Job> behind(Job head, int most) {
         List<Job> jobs = new ArrayList<>();
--- a/core/src/main/java/org/boragegap/core/placement/Lender.java
+++ b/core/src/main/java/org/boragegap/core/placement/Lender.java
@@ -13,12 +13,30 @@
 /**
  * Lends room on this VM's targets to its siblings.
  *
- * <p>The owner goes on accounting for what it lent. A borrower that dies gives nothing back, so a
- * loan ends by itself when its term and a margin are over.
+ * <p>An ask stands for a while and is served when there is room, so that a sibling needn't ask
+ * again and again. The owner goes on accounting for what it lent, and recalls it when its own work
+ * waits. A borrower that dies gives nothing back, so a loan ends by itself when its term and a
+ * margin are over.
  */
 public final class Lender {
-    private static final long TERM_MS = 300;
+    private static final long ASK_STANDS_MS = 500;
+    private static final long TERM_MS = 3_000;
     private static final long MARGIN_MS = 5_000;
+    private static final long RECALL_EVERY_MS = 200;
+
+    private record AskKey(String borrower, String service) {}
+
+    private static final class Standing {
+        private final LoanMessage.Ask mAsk;
+        private final long mUntilMs;
+        private int mLeft;
+
+        private Standing(LoanMessage.Ask ask, long untilMs) {
+            mAsk = ask;
+            mUntilMs = untilMs;
+            mLeft = ask.count();
+        }
+    }
 
     private static final class Loan {
         private final String mBorrower;
@@ -36,8 +54,10 @@
     }
 
     private final TargetPool mTargets;
+    private final Map<AskKey, Standing> mAsks = new LinkedHashMap<>();
     private final Map<Long, Loan> mLoans = new LinkedHashMap<>();
     private long mNextLoan = 1;
+    private long mRecalledMs = Long.MIN_VALUE / 2;
 
     private Lender(TargetPool targets) {
         mTargets = targets;
@@ -53,14 +73,37 @@
         return mLoans.values().stream().mapToInt(loan -> loan.mCount).sum();
     }
 
-    /** Answers an ask; gives nothing while own work waits for the same kind of target. */
-    public LoanMessage.Given onAsk(
-            String borrower, LoanMessage.Ask ask, boolean ownWorkWaits, long nowMs) {
-        if (ownWorkWaits) {
-            return new LoanMessage.Given(ask.service(), List.of());
+    /** Takes an ask, in place of an earlier one by the same sibling. */
+    public void onAsk(
+            String borrower,
+            LoanMessage.Ask ask,
+            Set<String> ownWaits,
+            long nowMs,
+            List<LoanAction> out) {
+        AskKey key = new AskKey(borrower, ask.service());
+        mAsks.put(key, new Standing(ask, nowMs + ASK_STANDS_MS));
+        offer(ownWaits, nowMs, out);
+    }
+
+    /** Serves the asks that stand, as far as there is room that no own work waits for. */
+    private void offer(Set<String> ownWaits, long nowMs, List<LoanAction> out) {
+        Iterator<Map.Entry<AskKey, Standing>> asks = mAsks.entrySet().iterator();
+        while (asks.hasNext()) {
+            Map.Entry<AskKey, Standing> entry = asks.next();
+            Standing standing = entry.getValue();
+            if (nowMs < standing.mUntilMs && !ownWaits.contains(entry.getKey().service())) {
+                give(entry.getKey().borrower(), standing, nowMs, out);
+            }
+            if (nowMs >= standing.mUntilMs || standing.mLeft == 0) {
+                asks.remove();
+            }
         }
+    }
+
+    private void give(String borrower, Standing standing, long nowMs, List<LoanAction> out) {
+        LoanMessage.Ask ask = standing.mAsk;
         Map<TargetState, Loan> loans = new LinkedHashMap<>();
-        for (int i = 0; i < ask.count(); i++) {
+        while (standing.mLeft > 0) {
             Optional<TargetState> target =
                     mTargets.place(ask.service(), ask.need(), Set.of(), nowMs);
             if (target.isEmpty()) {
@@ -69,8 +112,11 @@
             mTargets.onStarted(target.get(), ask.need());
             loans.computeIfAbsent(target.get(), state -> newLoan(borrower, state, ask, nowMs))
                     .mCount++;
+            standing.mLeft--;
+        }
+        if (!loans.isEmpty()) {
+            out.add(new LoanAction(borrower, given(ask, loans)));
         }
-        return given(ask, loans);
     }
 
     private static Loan newLoan(
@@ -91,6 +137,10 @@
 
     /** Takes room back; what comes for a loan that has ended is ignored. */
     public void onBack(LoanMessage.Back back, long nowMs) {
+        back.returns().forEach(each -> onReturn(each, nowMs));
+    }
+
+    private void onReturn(LoanMessage.Return back, long nowMs) {
         Loan loan = mLoans.get(back.loanId());
         if (loan == null) {
             return;
@@ -105,8 +155,32 @@
         }
     }
 
-    /** Ends loans whose term is over, and those of borrowers that are no siblings any more. */
-    public void onTick(Set<String> siblings, long nowMs) {
+    /** Wants as much room back as own work waits for. */
+    public void recall(Map<String, Integer> ownWaiting, long nowMs, List<LoanAction> out) {
+        if (nowMs - mRecalledMs < RECALL_EVERY_MS) {
+            return;
+        }
+        Map<AskKey, Integer> lent = new LinkedHashMap<>();
+        for (Loan loan : mLoans.values()) {
+            AskKey key = new AskKey(loan.mBorrower, loan.mTarget.target().service());
+            lent.merge(key, loan.mCount, Integer::sum);
+        }
+        Map<String, Integer> wanted = new HashMap<>(ownWaiting);
+        lent.forEach(
+                (key, count) -> {
+                    int back = Math.min(count, wanted.getOrDefault(key.service(), 0));
+                    if (back > 0) {
+                        wanted.merge(key.service(), -back, Integer::sum);
+                        mRecalledMs = nowMs;
+                        LoanMessage recall = new LoanMessage.Recall(key.service(), back);
+                        out.add(new LoanAction(key.borrower(), recall));
+                    }
+                });
+    }
+
+    /** Serves asks; ends loans that are over, and those of borrowers that are siblings no more. */
+    public void onTick(
+            Set<String> siblings, Set<String> ownWaits, long nowMs, List<LoanAction> out) {
         Iterator<Loan> loans = mLoans.values().iterator();
         while (loans.hasNext()) {
             Loan loan = loans.next();
@@ -117,14 +191,7 @@
                 loans.remove();
             }
         }
-    }
-
-    /** What is lent, by borrower. */
-    public Map<String, Integer> byBorrower() {
-        Map<String, Integer> lent = new HashMap<>();
-        for (Loan loan : mLoans.values()) {
-            lent.merge(loan.mBorrower, loan.mCount, Integer::sum);
-        }
-        return lent;
+        mAsks.keySet().removeIf(key -> !siblings.contains(key.borrower()));
+        offer(ownWaits, nowMs, out);
     }
 }
--- a/core/src/main/java/org/boragegap/core/placement/LoanMessage.java
+++ b/core/src/main/java/org/boragegap/core/placement/LoanMessage.java
@@ -16,10 +16,10 @@
     record Ask(String service, Need need, int count) implements LoanMessage {}
 
     /**
-     * Gives room, or none.
+     * Gives room.
      *
      * @param service service that was asked for
-     * @param lines what is given; empty for nothing
+     * @param lines what is given
      */
     record Given(String service, List<Line> lines) implements LoanMessage {}
 
@@ -34,12 +34,27 @@
      */
     record Line(long loanId, String target, Need need, int count, long termMs) {}
 
+    /**
+     * Wants room back as soon as the tasks on it have ended.
+     *
+     * @param service service of the targets
+     * @param count for how many tasks
+     */
+    record Recall(String service, int count) implements LoanMessage {}
+
     /**
      * Gives room back.
      *
+     * @param returns what is given back of each loan
+     */
+    record Back(List<Return> returns) implements LoanMessage {}
+
+    /**
+     * Room of one loan that is given back.
+     *
      * @param loanId the loan
      * @param count for how many tasks
-     * @param blamed how many tasks of it the target failed
+     * @param blamed how many of them the target failed
      */
-    record Back(long loanId, int count, int blamed) implements LoanMessage {}
+    record Return(long loanId, int count, int blamed) {}
 }
--- a/core/src/main/java/org/boragegap/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/boragegap/core/placement/PlacementPolicy.java
@@ -33,7 +33,17 @@
             TargetState second = candidates.get(random.nextInt(candidates.size()));
             return first.load() <= second.load() ? first : second;
         }
+
+        @Override
+        boolean samples() {
+            return true;
+        }
     };
 
+    /** True when a few candidates drawn at random are enough to choose from. */
+    boolean samples() {
+        return false;
+    }
+
     abstract TargetState choose(List<TargetState> candidates, long turn, RandomGenerator random);
 }
--- a/core/src/main/java/org/boragegap/core/placement/Placer.java
+++ b/core/src/main/java/org/boragegap/core/placement/Placer.java
@@ -85,7 +85,7 @@
         }
     }
 
-    /** To be called after a round: asks for what is missing and gives back what is not needed. */
+    /** To be called after a round: asks for what is missing, of siblings and of borrowers. */
     public void endRound(
             Set<String> siblings, Map<String, Integer> queued, long nowMs, List<LoanAction> out) {
         for (Map.Entry<String, Need> entry : mUnplaced.entrySet()) {
@@ -94,24 +94,29 @@
                 mBorrower.ask(siblings, entry.getKey(), entry.getValue(), count, nowMs, out);
             }
         }
-        mBorrower.giveBack(mUnplaced.keySet(), nowMs, out);
+        mBorrower.giveBackUnusable(nowMs, out);
+        Map<String, Integer> waiting = new HashMap<>(queued);
+        waiting.keySet().retainAll(mUnplaced.keySet());
+        mLender.recall(waiting, nowMs, out);
     }
 
     /** Takes a sibling's message. */
     public void onMessage(String from, LoanMessage message, long nowMs, List<LoanAction> out) {
         if (message instanceof LoanMessage.Ask ask) {
-            boolean ownWorkWaits = mUnplaced.containsKey(ask.service());
-            out.add(new LoanAction(from, mLender.onAsk(from, ask, ownWorkWaits, nowMs)));
+            mLender.onAsk(from, ask, mUnplaced.keySet(), nowMs, out);
         } else if (message instanceof LoanMessage.Given given) {
-            mBorrower.onGiven(from, given);
+            mBorrower.onGiven(from, given, nowMs);
+        } else if (message instanceof LoanMessage.Recall recall) {
+            mBorrower.onRecall(from, recall);
         } else if (message instanceof LoanMessage.Back back) {
             mLender.onBack(back, nowMs);
         }
     }
 
-    /** Ends loans that are over. */
-    public void onTick(Set<String> siblings, long nowMs) {
-        mLender.onTick(siblings, nowMs);
+    /** Gives back what is not needed, serves asks that stand, and ends loans that are over. */
+    public void onTick(Set<String> siblings, long nowMs, List<LoanAction> out) {
+        mBorrower.giveBack(mUnplaced.keySet(), nowMs, out);
+        mLender.onTick(siblings, mUnplaced.keySet(), nowMs, out);
     }
 
     /** Tasks at once that are lent to siblings now. */
--- a/core/src/main/java/org/boragegap/core/placement/TargetPool.java
+++ b/core/src/main/java/org/boragegap/core/placement/TargetPool.java
@@ -20,10 +20,13 @@
  * no message a task is needed to agree on it.
  */
 public final class TargetPool {
+    private static final int SAMPLES = 8;
+
     private final PlacementPolicy mPolicy;
     private final RandomGenerator mRandom;
     private final Map<String, TargetState> mTargets = new LinkedHashMap<>();
     private final Map<String, List<TargetState>> mByService = new HashMap<>();
+    private final Map<String, List<TargetState>> mOwnedByService = new HashMap<>();
     private Predicate<Target> mOwned = target -> true;
     private long mTurn;
 
@@ -37,9 +40,10 @@
         return new TargetPool(policy, random);
     }
 
-    /** Limits placement to the targets that this VM owns. */
+    /** Limits placement to the targets that this VM owns; to be called when that changes. */
     public void own(Predicate<Target> owned) {
         mOwned = owned;
+        index();
     }
 
     /**
@@ -68,28 +72,48 @@
 
     private void index() {
         mByService.clear();
+        mOwnedByService.clear();
         for (TargetState state : mTargets.values()) {
-            mByService
-                    .computeIfAbsent(state.target().service(), service -> new ArrayList<>())
-                    .add(state);
+            String service = state.target().service();
+            mByService.computeIfAbsent(service, name -> new ArrayList<>()).add(state);
+            if (mOwned.test(state.target())) {
+                mOwnedByService.computeIfAbsent(service, name -> new ArrayList<>()).add(state);
+            }
         }
     }
 
     /** The target for a task, if one has room for it. */
     public Optional<TargetState> place(String service, Need need, Set<String> avoid, long nowMs) {
-        List<TargetState> candidates = new ArrayList<>();
-        for (TargetState state : mByService.getOrDefault(service, List.of())) {
-            boolean wanted = !avoid.contains(state.target().address());
-            if (wanted && state.accepts(need, nowMs) && mOwned.test(state.target())) {
-                candidates.add(state);
+        List<TargetState> owned = mOwnedByService.getOrDefault(service, List.of());
+        Predicate<TargetState> accepts =
+                state -> state.accepts(need, nowMs) && !avoid.contains(state.target().address());
+        if (mPolicy.samples() && owned.size() > SAMPLES) {
+            Optional<TargetState> sampled = sample(owned, accepts);
+            if (sampled.isPresent()) {
+                return sampled;
             }
         }
+        List<TargetState> candidates = owned.stream().filter(accepts).toList();
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
         return Optional.of(mPolicy.choose(candidates, mTurn++, mRandom));
     }
 
+    /** Looks at a few targets only, so that a placement costs the same however many there are. */
+    private Optional<TargetState> sample(List<TargetState> owned, Predicate<TargetState> accepts) {
+        List<TargetState> candidates = new ArrayList<>(2);
+        for (int i = 0; i < SAMPLES && candidates.size() < 2; i++) {
+            TargetState state = owned.get(mRandom.nextInt(owned.size()));
+            if (accepts.test(state)) {
+                candidates.add(state);
+            }
+        }
+        return candidates.size() < 2
+                ? Optional.empty()
+                : Optional.of(mPolicy.choose(candidates, mTurn++, mRandom));
+    }
+
     /** Accounts for an attempt. */
     public void onStarted(TargetState state, Need need) {
         state.started(need);
--- a/entry/src/main/java/org/boragegap/entry/ActionRunner.java
+++ b/entry/src/main/java/org/boragegap/entry/ActionRunner.java
@@ -55,11 +55,17 @@
         mDrained = drained;
     }
 
-    void run(Action action) {
+    /**
+     * Carries out an action.
+     *
+     * @param idle whether the calling thread has nothing else to do, and may do the sending itself
+     */
+    void run(Action action, boolean idle) {
+        Executor traffic = idle ? Runnable::run : mTraffic;
         if (action instanceof Action.Start start) {
-            mTraffic.execute(() -> start(start));
+            traffic.execute(() -> start(start));
         } else if (action instanceof Action.Reply reply) {
-            mTraffic.execute(() -> reply(reply));
+            traffic.execute(() -> reply(reply));
         } else if (action instanceof Action.Accept accept) {
             if (accept.caller() instanceof CallerRef.HttpCaller caller) {
                 mTraffic.execute(() -> mCallers.accepted(caller.token(), accept.id()));
--- a/entry/src/main/java/org/boragegap/entry/ControlLoop.java
+++ b/entry/src/main/java/org/boragegap/entry/ControlLoop.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -22,9 +21,10 @@
 final class ControlLoop {
     private static final Logger sLog = LogManager.getLogger(ControlLoop.class);
     private static final long TICK_MS = 50;
+    private static final int MOST_INLINE = 2;
 
     private final Dispatcher mDispatcher;
-    private final Consumer<Action> mRunner;
+    private final ActionRunner mRunner;
     private final BlockingQueue<Runnable> mQueue = new LinkedBlockingQueue<>();
     private final Thread mThread = new Thread(this::run, "control");
     private final ScheduledExecutorService mTicker =
@@ -36,7 +36,7 @@
                     });
     private volatile boolean mStopped;
 
-    ControlLoop(Dispatcher dispatcher, Consumer<Action> runner) {
+    ControlLoop(Dispatcher dispatcher, ActionRunner runner) {
         mDispatcher = dispatcher;
         mRunner = runner;
     }
@@ -71,7 +71,9 @@
     private void handle(Event event) {
         List<Action> actions = new ArrayList<>();
         mDispatcher.on(event, clock(), actions);
-        actions.forEach(mRunner);
+        // With nothing else to do, handing a single message over would cost more than sending it.
+        boolean idle = actions.size() <= MOST_INLINE && mQueue.isEmpty();
+        actions.forEach(action -> mRunner.run(action, idle));
     }
 
     private void run() {
--- a/entry/src/main/java/org/boragegap/entry/EntryService.java
+++ b/entry/src/main/java/org/boragegap/entry/EntryService.java
@@ -77,7 +77,7 @@
         mVmList = VmListClient.create(mHttp, settings.text(Setting.VM_LIST_ADDRESS));
         TargetClient targets = TargetClient.create(mHttp);
         ActionRunner runner = new ActionRunner(mSelf, targets, log, mPeers, mTraffic);
-        mLoop = new ControlLoop(newDispatcher(), runner::run);
+        mLoop = new ControlLoop(newDispatcher(), runner);
         mFollower =
                 new LogFollower(
                         log, mChecker, mLoop::post, mTimer, settings.number(Setting.LOG_POLL_MS));
--- a/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
+++ b/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
@@ -52,7 +52,9 @@
         LoanMessage.Line line = new LoanMessage.Line(id, "t:1", need, count, id);
         assertSurvives(new PeerMessage.Loans("a:1", new LoanMessage.Ask("s", need, count)));
         assertSurvives(new PeerMessage.Loans("a:1", new LoanMessage.Given("s", List.of(line))));
-        assertSurvives(new PeerMessage.Loans("a:1", new LoanMessage.Back(id, count, 0)));
+        LoanMessage.Return back = new LoanMessage.Return(id, count, 0);
+        assertSurvives(new PeerMessage.Loans("a:1", new LoanMessage.Back(List.of(back))));
+        assertSurvives(new PeerMessage.Loans("a:1", new LoanMessage.Recall("s", count)));
     }
 
     @Property(tries = 2_000, seed = "3")
