--- a/app/src/main/java/org/boragegap/app/BenchCommand.java
+++ b/app/src/main/java/org/boragegap/app/BenchCommand.java
@@ -16,7 +16,7 @@
 
     @Override
     public String usage() {
-        return "path|load [OPTIONS]: measures on embedded stand-ins, prints one JSON object";
+        return "path|load|sizes [OPTIONS]: measures on embedded stand-ins, prints one JSON object";
     }
 
     @Override
@@ -40,8 +40,9 @@
         Object result =
                 switch (what) {
                     case "path" -> new PathRun().run();
+                    case "sizes" -> new SizesRun().run();
                     case "load" -> LoadComparison.run(loadOptions(line));
-                    default -> throw new UsageException("expected path or load");
+                    default -> throw new UsageException("expected path, load or sizes");
                 };
         System.out.println(new ObjectMapper().writeValueAsString(result));
         return ExitCode.OK;
--- a/core/src/main/java/org/boragegap/core/dispatch/Action.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/Action.java
@@ -109,12 +109,20 @@
     record RestateBundle(Bundle bundle, long asOf) implements Action {}
 
     /**
-     * Tells a peer which bundle is in force.
+     * Tells a peer which version of the bundle is in force here; one with a newer one answers.
      *
      * @param address peer address
+     * @param version the version, 0 for none
+     */
+    record TellBundleVersion(String address, long version) implements Action {}
+
+    /**
+     * Gives a peer that is behind the bundle in force.
+     *
+     * @param link connection on which it told its version
      * @param bundle the bundle
      */
-    record PassBundle(String address, Bundle bundle) implements Action {}
+    record GiveBundle(long link, Bundle bundle) implements Action {}
 
     /**
      * All work is answered and the process may exit.
--- a/core/src/main/java/org/boragegap/core/dispatch/BundleCourier.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/BundleCourier.java
@@ -12,7 +12,7 @@
 
 /** Brings the bundle in force to other VMs and keeps it on the log. */
 final class BundleCourier {
-    private static final long PASS_EVERY_MS = 1_000;
+    private static final long TELL_EVERY_MS = 1_000;
 
     private final BundleChain mChain;
     private final List<String> mDomains;
@@ -20,7 +20,7 @@
     private final ClaimLimits mLimits;
     private final Counters mCounters;
     private long mReadUpTo = -1;
-    private long mPassedMs = Long.MIN_VALUE / 2;
+    private long mToldMs = Long.MIN_VALUE / 2;
     private long mStatedMs = Long.MIN_VALUE / 2;
 
     BundleCourier(List<String> domains, String self, ClaimLimits limits, Counters counters) {
@@ -47,39 +47,42 @@
     }
 
     void onTick(EntryVms peers, ClockReading clock, List<Action> out) {
-        if (mChain.inForce().isEmpty()) {
-            return;
-        }
-        Bundle bundle = mChain.inForce().get().bundle();
-        pass(bundle, peers, clock, out);
-        restate(bundle, clock, out);
+        tellVersion(peers, clock, out);
+        restate(clock, out);
     }
 
     /**
-     * Any peer that can be reached gets the bundle, so a domain cut off from the log has it too.
+     * One peer in each failure domain hears the version from time to time and gives its bundle if
+     * that is newer, so a domain that is cut off from the log gets it from any peer it reaches.
      */
-    private void pass(Bundle bundle, EntryVms peers, ClockReading clock, List<Action> out) {
-        if (clock.monotonicMs() - mPassedMs < PASS_EVERY_MS) {
+    private void tellVersion(EntryVms peers, ClockReading clock, List<Action> out) {
+        if (clock.monotonicMs() - mToldMs < TELL_EVERY_MS) {
             return;
         }
-        mPassedMs = clock.monotonicMs();
+        mToldMs = clock.monotonicMs();
         for (String domain : mDomains) {
             Optional<String> peer = peers.pick(domain, mSelf, clock.monotonicMs());
-            if (peer.isPresent()) {
-                mCounters.add(Counters.Name.BUNDLES_PASSED);
-                out.add(new Action.PassBundle(peer.get(), bundle));
-            }
+            peer.ifPresent(
+                    address -> out.add(new Action.TellBundleVersion(address, mChain.version())));
+        }
+    }
+
+    void onVersionTold(long link, long version, List<Action> out) {
+        if (version < mChain.version()) {
+            mCounters.add(Counters.Name.BUNDLES_PASSED);
+            out.add(new Action.GiveBundle(link, mChain.inForce().orElseThrow().bundle()));
         }
     }
 
     /** The log keeps records for a limited time, so the bundle in force is stated again. */
-    private void restate(Bundle bundle, ClockReading clock, List<Action> out) {
+    private void restate(ClockReading clock, List<Action> out) {
         boolean due = clock.monotonicMs() - mStatedMs >= mLimits.restateMs();
         if (!due || !mChain.inForceFromLog()) {
             return;
         }
         mStatedMs = clock.monotonicMs();
         mCounters.add(Counters.Name.APPENDS);
+        Bundle bundle = mChain.inForce().orElseThrow().bundle();
         out.add(new Action.RestateBundle(bundle, mReadUpTo));
     }
 }
--- a/core/src/main/java/org/boragegap/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/Dispatcher.java
@@ -113,6 +113,8 @@
         } else if (event instanceof Event.LogRead read) {
             mClaims.onLog(read.batch(), clock, mClaimActions);
             mBundles.onLogRead(read.batch(), read.bundles(), clock);
+        } else if (event instanceof Event.BundleVersionTold told) {
+            mBundles.onVersionTold(told.link(), told.version(), out);
         } else if (event instanceof Event.BundlePassedOn passed) {
             mBundles.chain().adopt(passed.bundle(), clock.wallMs());
         } else if (event instanceof Event.VmsListed listed) {
@@ -272,7 +274,6 @@
 
     private void onVmsListed(List<ListedVm> vms, ClockReading clock) {
         mEntryVms.onListed(vms, clock.monotonicMs());
-        mClaims.onVmsGone(mEntryVms.goneFor(VM_GONE_AFTER_MS, clock.monotonicMs()));
         List<Target> targets = new ArrayList<>();
         Set<String> leaving = new HashSet<>();
         for (ListedVm vm : vms) {
@@ -288,6 +289,7 @@
     }
 
     private void onTick(ClockReading clock, List<Action> out) {
+        mClaims.onVmsGone(mEntryVms.goneFor(VM_GONE_AFTER_MS, clock.monotonicMs()));
         mClaims.onTick(clock, mClaimActions);
         mJobs.onTick(clock, out);
         mIntake.onTick(clock, out);
--- a/core/src/main/java/org/boragegap/core/dispatch/Event.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/Event.java
@@ -84,7 +84,15 @@
     record LogRead(LogBatch batch, List<BundleRecord> bundles) implements Event {}
 
     /**
-     * A peer told which bundle it has in force.
+     * A peer told which version of the bundle it has in force.
+     *
+     * @param link connection on which it did
+     * @param version the version
+     */
+    record BundleVersionTold(long link, long version) implements Event {}
+
+    /**
+     * A peer gave the bundle that it has in force.
      *
      * @param bundle the bundle
      */
--- a/core/src/main/java/org/boragegap/core/dispatch/JobBoard.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/JobBoard.java
@@ -118,7 +118,7 @@
             return impossible;
         }
         long spread = submission.id().key().low();
-        double waitMs = expectedWaitMs(serviceOf(submission));
+        double waitMs = expectedWaitMs(serviceOf(submission), clock);
         if (mBacklog.tasks() + submission.tasks().size() > mSettings.maxQueuedTasks()) {
             return Optional.of(notRun("the queue is full", RetryAfter.afterMs(waitMs, spread)));
         }
@@ -157,8 +157,10 @@
     }
 
     /** Run time of what is queued, spread over the slots there are. */
-    private double expectedWaitMs(String service) {
-        double slots = (double) mTargets.slots(service) / (1 + mSiblings.get().size());
+    private double expectedWaitMs(String service, ClockReading clock) {
+        double slots =
+                (double) mTargets.slots(service, clock.monotonicMs())
+                        / (1 + mSiblings.get().size());
         return mBacklog.workMs(service) / Math.max(1, slots);
     }
 
@@ -358,7 +360,7 @@
         job.avoid(attempt.task(), attempt.place().target().target().address());
         if (job.avoided(attempt.task()).size() >= MOST_REFUSALS) {
             String reason = "refused by " + MOST_REFUSALS + " targets, last: " + refused.reason();
-            finish(job, givenUp(job, reason), clock, out);
+            finish(job, givenUp(job, reason, clock), clock, out);
             return;
         }
         requeue(job, attempt.task());
@@ -386,9 +388,9 @@
         finish(job, failed(FailureKind.MAY_HAVE_RUN, attempt, lost.reason()), clock, out);
     }
 
-    private Answer givenUp(Job job, String reason) {
+    private Answer givenUp(Job job, String reason, ClockReading clock) {
         long spread = job.submission().id().key().low();
-        double waitMs = expectedWaitMs(serviceOf(job.submission()));
+        double waitMs = expectedWaitMs(serviceOf(job.submission()), clock);
         FailureKind kind = job.mayHaveRun() ? FailureKind.MAY_HAVE_RUN : FailureKind.NOT_RUN;
         return new Answer.Failed(kind, reason, RetryAfter.afterMs(waitMs, spread));
     }
@@ -443,7 +445,7 @@
         tell(loans, out);
         while (!mDeadlines.isEmpty() && mDeadlines.peek().wallMs() <= clock.wallMs()) {
             Job job = mDeadlines.poll().job();
-            finish(job, givenUp(job, "the deadline has passed"), clock, out);
+            finish(job, givenUp(job, "the deadline has passed", clock), clock, out);
         }
         while (!mKept.isEmpty() && mKept.peek().untilMs() <= clock.monotonicMs()) {
             forget(mKept.poll());
@@ -463,7 +465,7 @@
             }
         }
         for (Job job : left) {
-            finish(job, givenUp(job, reason), clock, out);
+            finish(job, givenUp(job, reason, clock), clock, out);
         }
         return left.size();
     }
--- a/core/src/main/java/org/boragegap/core/placement/TargetPool.java
+++ b/core/src/main/java/org/boragegap/core/placement/TargetPool.java
@@ -21,6 +21,7 @@
  */
 public final class TargetPool {
     private static final int SAMPLES = 8;
+    private static final long COUNT_EVERY_MS = 200;
 
     private final PlacementPolicy mPolicy;
     private final RandomGenerator mRandom;
@@ -28,6 +29,8 @@
     private final Map<String, List<TargetState>> mByService = new HashMap<>();
     private final Map<String, List<TargetState>> mOwnedByService = new HashMap<>();
     private Predicate<Target> mOwned = target -> true;
+    private final Map<String, Integer> mSlots = new HashMap<>();
+    private long mCountedMs = Long.MIN_VALUE / 2;
     private long mTurn;
 
     private TargetPool(PlacementPolicy policy, RandomGenerator random) {
@@ -73,6 +76,7 @@
     private void index() {
         mByService.clear();
         mOwnedByService.clear();
+        mSlots.clear();
         for (TargetState state : mTargets.values()) {
             String service = state.target().service();
             mByService.computeIfAbsent(service, name -> new ArrayList<>()).add(state);
@@ -180,8 +184,16 @@
         return mByService.containsKey(service);
     }
 
-    /** How many tasks the targets of a service run at once, owned or not. */
-    public int slots(String service) {
+    /** How many tasks the targets of a service run at once, owned or not; a moment old. */
+    public int slots(String service, long nowMs) {
+        if (nowMs - mCountedMs >= COUNT_EVERY_MS) {
+            mSlots.clear();
+            mCountedMs = nowMs;
+        }
+        return mSlots.computeIfAbsent(service, this::countSlots);
+    }
+
+    private int countSlots(String service) {
         int slots = 0;
         for (TargetState state : mByService.getOrDefault(service, List.of())) {
             if (!state.leaving() && !state.quarantined()) {
--- a/entry/src/main/java/org/boragegap/entry/ActionRunner.java
+++ b/entry/src/main/java/org/boragegap/entry/ActionRunner.java
@@ -83,8 +83,10 @@
                             forward.forwardId(), forward.submission(), forward.hops()));
         } else if (action instanceof Action.ForwardCancel cancel) {
             mPeers.send(cancel.address(), new PeerMessage.Cancel(cancel.id(), cancel.hops()));
-        } else if (action instanceof Action.PassBundle pass) {
-            mPeers.send(pass.address(), new PeerMessage.BundleIs(pass.bundle()));
+        } else if (action instanceof Action.TellBundleVersion tell) {
+            mPeers.send(tell.address(), new PeerMessage.BundleVersion(tell.version()));
+        } else if (action instanceof Action.GiveBundle give) {
+            mPeers.answer(give.link(), new PeerMessage.BundleIs(give.bundle()));
         } else if (action instanceof Action.AppendView append) {
             append(new LogEntry.View(append.record()));
         } else if (action instanceof Action.RestateBundle restate) {
--- a/entry/src/main/java/org/boragegap/entry/EntryService.java
+++ b/entry/src/main/java/org/boragegap/entry/EntryService.java
@@ -247,6 +247,8 @@
                 mLoop.post(new Event.ForwardAnswered(answer.forwardId(), answer.answer()));
             } else if (message instanceof PeerMessage.Cancel cancel) {
                 mLoop.post(new Event.Cancelled(cancel.id(), cancel.hops()));
+            } else if (message instanceof PeerMessage.BundleVersion version) {
+                mLoop.post(new Event.BundleVersionTold(link, version.version()));
             } else if (message instanceof PeerMessage.BundleIs is) {
                 mLoop.post(new Event.BundlePassedOn(mChecker.check(is.bundle())));
             } else if (message instanceof PeerMessage.Ask ask) {
--- a/http/src/main/java/org/boragegap/http/HttpCaller.java
+++ b/http/src/main/java/org/boragegap/http/HttpCaller.java
@@ -165,18 +165,20 @@
             return;
         }
         mBusy.put(connection, exchange);
-        HttpRequestPacket request =
+        HttpRequestPacket.Builder request =
                 HttpRequestPacket.builder()
                         .method(call.method())
                         .uri(call.path())
                         .protocol(Protocol.HTTP_1_1)
                         .header("Host", call.address())
                         .header("Content-Type", "application/json")
-                        .contentLength(call.body().length)
-                        .build();
+                        .contentLength(call.body().length);
+        if (!call.ifNoneMatch().isEmpty()) {
+            request.header("If-None-Match", call.ifNoneMatch());
+        }
         MemoryManager<?> memory = mTransport.getMemoryManager();
         Buffer body = Buffers.wrap(memory, call.body());
-        connection.write(HttpContent.builder(request).content(body).last(true).build());
+        connection.write(HttpContent.builder(request.build()).content(body).last(true).build());
         if (!connection.isOpen()) {
             onClosed(connection);
         }
@@ -239,6 +241,7 @@
             Buffer buffer = content.getContent();
             byte[] body = new byte[buffer.remaining()];
             buffer.get(body);
+            String tag = response.getHeader("ETag");
             boolean keep = !"close".equalsIgnoreCase(response.getHeader("Connection"));
             if (keep) {
                 pool(exchange.call()).putIdle(connection, nowMs());
@@ -246,7 +249,8 @@
                 pool(exchange.call()).closed();
                 connection.closeSilently();
             }
-            exchange.end(new HttpResult.Response(response.getStatus(), body));
+            exchange.end(
+                    new HttpResult.Response(response.getStatus(), body, tag == null ? "" : tag));
             return context.getStopAction();
         }
 
--- a/http/src/main/java/org/boragegap/http/HttpResult.java
+++ b/http/src/main/java/org/boragegap/http/HttpResult.java
@@ -10,8 +10,9 @@
      *
      * @param status HTTP status code
      * @param body the body
+     * @param entityTag its entity tag; empty for none
      */
-    record Response(int status, byte[] body) implements HttpResult {
+    record Response(int status, byte[] body, String entityTag) implements HttpResult {
         /** The body as UTF-8. */
         public String text() {
             return new String(body, StandardCharsets.UTF_8);
--- a/http/src/test/java/org/boragegap/http/HttpCallerTest.java
+++ b/http/src/test/java/org/boragegap/http/HttpCallerTest.java
@@ -155,7 +155,14 @@
                 long past = HttpCaller.nowMs() - 1;
                 mCaller.send(
                         new HttpCall(
-                                address, "POST", "/x", new byte[0], past, 5_000, result::complete));
+                                address,
+                                "POST",
+                                "/x",
+                                "",
+                                new byte[0],
+                                past,
+                                5_000,
+                                result::complete));
                 assertThat(get(result)).isEqualTo(new HttpResult.NotSent("too late to send it"));
             }
         }
--- a/standin/src/main/java/org/boragegap/standin/VmListStandin.java
+++ b/standin/src/main/java/org/boragegap/standin/VmListStandin.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +17,7 @@
 public final class VmListStandin implements Standin {
     private static final int MOST_BODY_BYTES = 4 * 1024 * 1024;
     private static final int OK = 200;
+    private static final int NOT_MODIFIED = 304;
     private static final int BAD_REQUEST = 400;
 
     private final List<HttpEndpoint> mEndpoints = new ArrayList<>();
@@ -73,10 +75,18 @@
         } else if (mDown[listener]) {
             in.drop();
         } else {
-            in.reply(OK, PlatformJson.write(mShown));
+            show(in);
         }
     }
 
+    private void show(HttpIn in) {
+        String json = PlatformJson.write(mShown);
+        String tag = '"' + Integer.toHexString(json.hashCode()) + '"';
+        boolean known = in.header("If-None-Match").filter(tag::equals).isPresent();
+        Map<String, String> headers = Map.of("ETag", tag);
+        in.reply(known ? NOT_MODIFIED : OK, "application/json", headers, known ? "" : json);
+    }
+
     private void change(HttpIn in) {
         try {
             VmList list = PlatformJson.read(in.text(), VmList.class);
--- a/wire/src/main/java/org/boragegap/wire/PeerMessage.java
+++ b/wire/src/main/java/org/boragegap/wire/PeerMessage.java
@@ -54,7 +54,15 @@
     record Cancel(SubmissionId id, int hops) implements PeerMessage {}
 
     /**
-     * Tells which bundle the sender has in force.
+     * Tells which version of the bundle the sender has in force; a receiver with a newer one
+     * answers with {@link BundleIs} on the same connection.
+     *
+     * @param version the version, 0 for none
+     */
+    record BundleVersion(long version) implements PeerMessage {}
+
+    /**
+     * Gives the bundle that the sender has in force.
      *
      * @param bundle the bundle
      */
