Logs: job, team and incarnation as fields

Cause: a line about a submission couldn't be found by its job or team, nor told apart by the run of the process that wrote it. Change: answers in doubt and failures are logged at INFO, refusals at DEBUG (they come in floods and are counted), with job and team as fields; every line has the incarnation.

--- a/app/src/main/java/org/boragegap/app/EmbeddedDeployment.java
+++ b/app/src/main/java/org/boragegap/app/EmbeddedDeployment.java
@@ -61,7 +61,9 @@
             mCallers.add(HOST + ":" + LoopbackPorts.next());
             mOperators.add(HOST + ":" + LoopbackPorts.next());
             vms.add(new ListedVm(peer, DOMAIN, VmKind.ENTRY, "", false, Need.NONE, 0));
-            mEntries.add(EntryService.create(settings(i, peer, logPort, listPort)));
+            mEntries.add(
+                    EntryService.create(
+                            settings(i, peer, logPort, listPort), System.currentTimeMillis()));
         }
         mStandins.add(LogStandin.create(HOST, List.of(logPort), RETENTION_MS));
         mStandins.add(VmListStandin.create(HOST, List.of(listPort), 0, new VmList(vms)));
--- a/app/src/main/java/org/boragegap/app/ServeCommand.java
+++ b/app/src/main/java/org/boragegap/app/ServeCommand.java
@@ -41,11 +41,13 @@
         if (settings == null) {
             return ExitCode.USAGE;
         }
+        long incarnation = System.currentTimeMillis();
+        System.setProperty("boragegap.incarnation", Long.toString(incarnation));
         System.setProperty("boragegap.vm", settings.text(Setting.PEER_ADDRESS));
         System.setProperty("boragegap.domain", settings.text(Setting.FAILURE_DOMAIN));
         Configurator.reconfigure();
         Configurator.setRootLevel(Level.toLevel(settings.text(Setting.LOG_LEVEL)));
-        EntryService service = EntryService.create(settings);
+        EntryService service = EntryService.create(settings, incarnation);
         service.start();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drainAndHalt(service), "drain"));
         service.awaitDrained();
--- a/entry/src/main/java/org/boragegap/entry/CallerApi.java
+++ b/entry/src/main/java/org/boragegap/entry/CallerApi.java
@@ -8,6 +8,10 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.apache.logging.log4j.CloseableThreadContext;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.boragegap.core.dispatch.CallerRef;
 import org.boragegap.core.dispatch.Event;
 import org.boragegap.core.job.Answer;
@@ -20,6 +24,7 @@
     private static final Pattern SERVICE =
             Pattern.compile("/v1/services/([a-z0-9-]{1,64})/requests");
     private static final Pattern JOB = Pattern.compile("/v1/jobs/([^/]{1,200})");
+    private static final Logger sLog = LogManager.getLogger(CallerApi.class);
     private static final int OK = 200;
     private static final int ACCEPTED = 202;
     private static final int NOT_FOUND = 404;
@@ -27,7 +32,7 @@
     private static final long MS_PER_SECOND = 1_000;
 
     /** A caller that waits. */
-    private record Open(HttpIn in, boolean async, boolean service) {}
+    private record Open(HttpIn in, boolean async, boolean service, String team) {}
 
     /** What a complete job is answered with. */
     private record CompleteJob(String id, String outcome, List<String> results) {}
@@ -75,7 +80,7 @@
             return;
         }
         long token = mNextToken.getAndIncrement();
-        mOpen.put(token, new Open(in, good.async(), service.isPresent()));
+        mOpen.put(token, new Open(in, good.async(), service.isPresent(), good.submission().team()));
         CallerRef caller = new CallerRef.HttpCaller(token);
         mLoop.post(new Event.Submitted(caller, good.submission(), good.fresh(), 0));
     }
@@ -135,10 +140,27 @@
     void answered(long token, SubmissionId id, Answer answer) {
         Open open = mOpen.remove(token);
         if (open != null) {
+            log(open, id, answer);
             answer(open.in(), open.service(), id, answer);
         }
     }
 
+    /** Refusals come in floods and are counted; what is in doubt or failed is worth a line each. */
+    @SuppressWarnings("try")
+    private static void log(Open open, SubmissionId id, Answer answer) {
+        if (!(answer instanceof Answer.Failed failed)) {
+            return;
+        }
+        Level level = failed.kind().nothingRan() ? Level.DEBUG : Level.INFO;
+        if (!sLog.isEnabled(level)) {
+            return;
+        }
+        try (CloseableThreadContext.Instance fields =
+                CloseableThreadContext.put("job", id.text()).put("team", open.team())) {
+            sLog.log(level, "{}: {}", failed.kind(), failed.reason());
+        }
+    }
+
     int open() {
         return mOpen.size();
     }
--- a/entry/src/main/java/org/boragegap/entry/EntryService.java
+++ b/entry/src/main/java/org/boragegap/entry/EntryService.java
@@ -60,9 +60,9 @@
     private final CountDownLatch mDrained = new CountDownLatch(1);
     private final AtomicReference<Action.Drained> mSummary = new AtomicReference<>();
 
-    private EntryService(Settings settings) throws EntryException {
+    private EntryService(Settings settings, long incarnation) throws EntryException {
         mSettings = settings;
-        mSelf = new Member(settings.text(Setting.PEER_ADDRESS), System.currentTimeMillis());
+        mSelf = new Member(settings.text(Setting.PEER_ADDRESS), incarnation);
         mTraffic = Executors.newFixedThreadPool(TRAFFIC_THREADS, task -> daemon(task, "traffic"));
         mHttp = HttpCaller.create((int) settings.number(Setting.CONNECTIONS));
         mChecker =
@@ -108,10 +108,12 @@
     /**
      * Makes an entry process.
      *
+     * @param settings checked settings
+     * @param incarnation number of this run, larger for later runs at the same address
      * @throws EntryException if the settings can't be used
      */
-    public static EntryService create(Settings settings) throws EntryException {
-        return new EntryService(settings);
+    public static EntryService create(Settings settings, long incarnation) throws EntryException {
+        return new EntryService(settings, incarnation);
     }
 
     private static Thread daemon(Runnable task, String name) {
