Times until a bundle is in force and a copy is answered are measured; kept answers apart

JobBoard also kept the book of answers that are still to be given.

Change: FailuresTest prints both and holds the 14 s; KeptAnswers is a class of its own.

--- a/app/src/test/java/org/boragegap/app/FailuresTest.java
+++ b/app/src/test/java/org/boragegap/app/FailuresTest.java
@@ -19,6 +19,7 @@
 
 /** Failures of whole processes, over loopback sockets; the targets count what was started. */
 final class FailuresTest {
+    private static final long IN_FORCE_WITHIN_MS = 14_000;
     private static final String REQUESTS = "/v1/services/catalogue/requests";
     private static final String BODY = "{\"teams\":{},\"kinds\":{}}";
     private Signers mSigners;
@@ -88,7 +89,10 @@
             ProcessDeployment.signal(entry(0, 0), "KILL");
             awaitMembers(entry(0, 1), 1);
 
+            long copiedNs = System.nanoTime();
             HttpResponse<String> copy = submit(entry(0, 1), "/v1/jobs", body).get();
+            long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - copiedNs);
+            System.out.println("copy of a dead VM's job answered after ms: " + tookMs);
             assertWithMessage(copy.body()).that(copy.statusCode()).isEqualTo(504);
             assertThat(ProcessDeployment.json(copy).path("outcome").asText())
                     .isEqualTo("may_have_run");
@@ -198,11 +202,17 @@
             for (Future<HttpResponse<String>> answer : answers) {
                 assertThat(answer.get().statusCode()).isEqualTo(200);
             }
+            long publishedMs = System.currentTimeMillis();
             HttpResponse<String> published = publish(entry(1, 0), 1, "", "p1");
             assertWithMessage(published.body()).that(published.statusCode()).isEqualTo(200);
             mDeployment.await(
                     "the bundle in the domain that is cut off",
                     () -> bundleVersion(entry(0, 0)) == 1 && bundleVersion(entry(0, 1)) == 1);
+            for (ProcessDeployment.Entry entry : mDeployment.entries()) {
+                long sinceMs = mDeployment.dump(entry).path("bundleSinceMs").asLong();
+                System.out.println("in force after ms: " + (sinceMs - publishedMs));
+                assertThat(sinceMs - publishedMs).isLessThan(IN_FORCE_WITHIN_MS);
+            }
             assertNothingStartedTwice();
         }
     }
--- a/core/src/main/java/org/boragegap/core/claim/ViewKeeper.java
+++ b/core/src/main/java/org/boragegap/core/claim/ViewKeeper.java
@@ -85,11 +85,11 @@
         }
         mReadUpTo = batch.nextOffset() - 1;
         mReachedEnd = batch.atEnd();
-        boolean changed = head().isPresent() && !head().equals(before);
-        if (changed) {
-            onHeadChanged(clock, out);
+        if (head().isEmpty() || head().equals(before)) {
+            return false;
         }
-        return changed;
+        onHeadChanged(clock, out);
+        return true;
     }
 
     private void onLogged(LoggedView logged, ClockReading clock) {
--- a/core/src/main/java/org/boragegap/core/dispatch/JobBoard.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/JobBoard.java
@@ -1,9 +1,7 @@
 package org.boragegap.core.dispatch;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,8 +40,6 @@
 
     private record Deadline(long wallMs, Job job) {}
 
-    private record Kept(long untilMs, SubmissionId id) {}
-
     private final DispatchSettings mSettings;
     private final Supplier<BundleContent> mBundle;
     private final Supplier<Set<String>> mSiblings;
@@ -60,7 +56,7 @@
     private final Map<String, Integer> mRunningByTeam = new HashMap<>();
     private final PriorityQueue<Deadline> mDeadlines =
             new PriorityQueue<>(Comparator.comparingLong(Deadline::wallMs));
-    private final Deque<Kept> mKept = new ArrayDeque<>();
+    private final KeptAnswers mKept;
     private long mNextAttempt = 1;
     private long mNextSequence = 1;
     private int mUnanswered;
@@ -74,6 +70,7 @@
             Consumer<SubmissionId> onNothingRun) {
         mOnNothingRun = onNothingRun;
         mSettings = settings;
+        mKept = new KeptAnswers(settings.answerKeepMs());
         mBundle = bundle;
         mSiblings = siblings;
         mPlacer = Placer.create(targets);
@@ -366,7 +363,7 @@
             mOnNothingRun.accept(id);
             return;
         }
-        mKept.add(new Kept(clock.monotonicMs() + mSettings.answerKeepMs(), id));
+        mKept.add(id, clock.monotonicMs());
     }
 
     static Counters.Name counterOf(Answer answer) {
@@ -395,15 +392,11 @@
             Job job = mDeadlines.poll().job();
             finish(job, givenUp(job, "the deadline has passed", clock), clock, out);
         }
-        while (!mKept.isEmpty() && mKept.peek().untilMs() <= clock.monotonicMs()) {
-            forget(mKept.poll());
+        for (SubmissionId id : mKept.expired(clock.monotonicMs())) {
+            mJobs.remove(id.text());
         }
     }
 
-    private void forget(Kept kept) {
-        mJobs.remove(kept.id().text());
-    }
-
     /** Fails all that is not answered yet; for the bound of a drain. */
     int failAll(String reason, ClockReading clock, List<Action> out) {
         List<Job> left = new ArrayList<>();
