--- a/core/src/main/java/org/boragegap/core/placement/Borrower.java
+++ b/core/src/main/java/org/boragegap/core/placement/Borrower.java
@@ -16,7 +16,7 @@
  * it was served whole. Room that nothing waits for is given back, in batches.
  */
 public final class Borrower {
-    private static final long ASK_AGAIN_MS = 1_900;
+    private static final long ASK_AGAIN_MS = 450;
     private static final long ASK_PAUSE_MS = 50;
     private static final int MOST_ASKED = 512;
 
--- a/core/src/main/java/org/boragegap/core/placement/Lender.java
+++ b/core/src/main/java/org/boragegap/core/placement/Lender.java
@@ -19,7 +19,7 @@
  * margin are over.
  */
 public final class Lender {
-    private static final long ASK_STANDS_MS = 2_000;
+    private static final long ASK_STANDS_MS = 500;
     private static final long TERM_MS = 3_000;
     private static final long MARGIN_MS = 5_000;
     private static final long RECALL_EVERY_MS = 200;
--- a/core/src/main/java/org/boragegap/core/placement/Placer.java
+++ b/core/src/main/java/org/boragegap/core/placement/Placer.java
@@ -22,13 +22,10 @@
     public record Place(
             TargetState target, String service, Need need, Optional<Borrower.Slot> slot) {}
 
-    private static final long GIVE_BACK_EVERY_MS = 200;
-
     private final TargetPool mTargets;
     private final Lender mLender;
     private final Borrower mBorrower = Borrower.create();
     private final Map<String, Need> mUnplaced = new HashMap<>();
-    private long mGaveBackMs = Long.MIN_VALUE / 2;
 
     private Placer(TargetPool targets) {
         mTargets = targets;
@@ -118,10 +115,7 @@
 
     /** Gives back what is not needed, serves asks that stand, and ends loans that are over. */
     public void onTick(Set<String> siblings, long nowMs, List<LoanAction> out) {
-        if (nowMs - mGaveBackMs >= GIVE_BACK_EVERY_MS) {
-            mGaveBackMs = nowMs;
-            mBorrower.giveBack(mUnplaced.keySet(), nowMs, out);
-        }
+        mBorrower.giveBack(mUnplaced.keySet(), nowMs, out);
         mLender.onTick(siblings, mUnplaced.keySet(), nowMs, out);
     }
 
