--- a/app/src/main/java/org/boragegap/app/ServeCommand.java
+++ b/app/src/main/java/org/boragegap/app/ServeCommand.java
@@ -1,5 +1,6 @@
 package org.boragegap.app;
 
+import java.util.concurrent.CountDownLatch;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
@@ -9,6 +10,7 @@
 import org.boragegap.entry.EntryService;
 import org.boragegap.entry.Setting;
 import org.boragegap.entry.Settings;
+import org.boragegap.entry.cell.CellNode;
 
 /** Runs an entry VM's process until it has drained. */
 final class ServeCommand implements Command {
@@ -45,8 +47,12 @@
         System.setProperty("boragegap.incarnation", Long.toString(incarnation));
         System.setProperty("boragegap.vm", settings.text(Setting.PEER_ADDRESS));
         System.setProperty("boragegap.domain", settings.text(Setting.FAILURE_DOMAIN));
+        System.setProperty("boragegap.log.target", "SYSTEM_OUT");
         Configurator.reconfigure();
         Configurator.setRootLevel(Level.toLevel(settings.text(Setting.LOG_LEVEL)));
+        if (!settings.text(Setting.STORE_ADDRESS).isEmpty()) {
+            return serveCell(settings, incarnation);
+        }
         EntryService service = EntryService.create(settings, incarnation);
         service.start();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drainAndHalt(service), "drain"));
@@ -55,6 +61,26 @@
         return ExitCode.OK;
     }
 
+    private static ExitCode serveCell(Settings settings, long incarnation) throws Exception {
+        CellNode node = CellNode.create(settings, incarnation);
+        node.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drainAndHalt(node), "drain"));
+        new CountDownLatch(1).await();
+        return ExitCode.OK;
+    }
+
+    private static void drainAndHalt(CellNode node) {
+        try {
+            node.drain();
+            node.awaitDrained();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        node.stop();
+        LogManager.shutdown();
+        Runtime.getRuntime().halt(ExitCode.OK.code());
+    }
+
     /** On SIGTERM: everything in flight is finished before the process ends. */
     private static void drainAndHalt(EntryService service) {
         try {
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/cell/Admission.java
@@ -0,0 +1,83 @@
+package org.boragegap.core.cell;
+
+/**
+ * Refuses a job at the door when it would wait so long that its answer would come too late.
+ *
+ * <p>Under overload every order without refusal collapses: half-done jobs hold the targets and
+ * nothing is in time. A refusal at once costs a caller less than a late answer. In the model of 75
+ * slots at twice the mean load, refusing what would wait over 0.7 of its slack served 0.64 of the
+ * worth, against 0.15 without.
+ */
+final class Admission {
+    /** Share of its slack that a job may be expected to wait; best of 0.7, 1 and 1.5 tried. */
+    private static final double MOST_OF_SLACK = 0.7;
+
+    /** Least time after which a refused caller is asked to come back, in ms. */
+    private static final long LEAST_RETRY_MS = 1_000;
+
+    private final Term mTerm;
+    private final RunTimes mTimes;
+
+    Admission(Term term, RunTimes times) {
+        mTerm = term;
+        mTimes = times;
+    }
+
+    /** Expected run time of the longest chain of steps, in ms. */
+    long longestMs(JobRequest request) {
+        long[] chain = new long[request.steps().size()];
+        long longest = 0;
+        for (int i = 0; i < chain.length; i++) {
+            StepRequest step = request.steps().get(i);
+            long before = 0;
+            for (int earlier : step.dependsOn()) {
+                before = Math.max(before, chain[earlier]);
+            }
+            chain[i] = before + Math.round(mTimes.expectedMs(request.queue(), step));
+            longest = Math.max(longest, chain[i]);
+        }
+        return longest;
+    }
+
+    /**
+     * Expected wait of a job that comes now: all work that waits, over all that can run at once.
+     */
+    long waitMs() {
+        double workMs = 0;
+        double cpuMs = 0;
+        for (CellJob job : mTerm.waiting()) {
+            for (CellTask task : job.ready()) {
+                double expectedMs = mTimes.expectedMs(job.request().queue(), task.step());
+                workMs += expectedMs;
+                cpuMs += expectedMs * task.step().cpuMillis();
+            }
+        }
+        if (workMs == 0) {
+            return 0;
+        }
+        double meanCpu = cpuMs / workMs;
+        return Math.round(workMs / Math.max(1.0, slots(meanCpu)));
+    }
+
+    /** How many tasks of this size run at once, each target filled with whole tasks. */
+    private double slots(double cpuMillis) {
+        double slots = 0;
+        for (Target target : mTerm.targets().values()) {
+            boolean usable = target.reported() && !target.lost() && !target.info().draining();
+            if (usable && !target.avoided()) {
+                slots += Math.floor(target.info().cpuMillis() / Math.max(1, cpuMillis));
+            }
+        }
+        return slots;
+    }
+
+    /** True when a job with this wait ahead of it can't be expected to be in time. */
+    boolean tooLate(CellJob job, long waitMs) {
+        long slackMs = job.latestStartMs() - mTerm.nowMs();
+        return waitMs > MOST_OF_SLACK * slackMs;
+    }
+
+    long retryAfterMs(long waitMs) {
+        return Math.max(LEAST_RETRY_MS, waitMs);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/cell/CellAction.java
@@ -0,0 +1,63 @@
+package org.boragegap.core.cell;
+
+/** What a controller wants done. */
+public sealed interface CellAction {
+
+    /**
+     * Extend a target's lease and ask for its report.
+     *
+     * @param target the target
+     * @param call names the call
+     * @param fence fencing token
+     * @param untilMs lease end on the target's clock; 0 to extend nothing, when its clock isn't
+     *     known yet
+     * @param acknowledged ends up to this number may be forgotten
+     * @param waitMs how long the target may wait for an end before it answers, in ms
+     */
+    record ExtendLease(
+            TargetInfo target, long call, long fence, long untilMs, long acknowledged, long waitMs)
+            implements CellAction {}
+
+    /**
+     * Start a run.
+     *
+     * @param target the target
+     * @param task the task
+     * @param run number of the start
+     * @param spec the job's spec
+     * @param fence fencing token
+     * @param untilMs lease end on the target's clock; the target rejects the start after it
+     */
+    record StartRun(
+            TargetInfo target, TaskName task, int run, String spec, long fence, long untilMs)
+            implements CellAction {}
+
+    /**
+     * Stop a run; if it isn't there yet, the target will reject its start.
+     *
+     * @param target the target
+     * @param task the task
+     * @param run number of the start
+     * @param fence fencing token
+     */
+    record StopRun(TargetInfo target, TaskName task, int run, long fence) implements CellAction {}
+
+    /**
+     * Tell an entry VM how a job ended.
+     *
+     * @param entry its peer address
+     * @param job the job
+     * @param verdict how it ended
+     */
+    record Answer(String entry, String job, Verdict verdict) implements CellAction {}
+
+    /** Another controller has taken over: this VM must find out who. */
+    record Deposed() implements CellAction {}
+
+    /**
+     * One line for the log.
+     *
+     * @param decision what was decided and by which inputs
+     */
+    record Log(Decision decision) implements CellAction {}
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -0,0 +1,174 @@
+package org.boragegap.core.cell;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.boragegap.core.ClockReading;
+
+/**
+ * Decides for one cell while this VM controls it: which jobs are taken on, which task starts where
+ * and when, what is stopped, and how each job ended.
+ *
+ * <p>A term is named by its fencing token. Targets reject orders with a lower token than they have
+ * seen, so an earlier controller that doesn't know yet that it was replaced can start nothing on a
+ * target that the later one has called.
+ */
+public final class CellController {
+    /**
+     * After this many ms of a term nothing that an earlier controller has started can still run on
+     * a target that has not reported: the longest lease on a clock that is 2% slow, and the time in
+     * which the earlier controller notices that it was replaced.
+     */
+    private static final long SETTLE_MARGIN_MS = 600;
+
+    private static final double SLOWEST_CLOCK = 0.98;
+
+    private final CellSettings mSettings;
+    private final RunTimes mTimes = new RunTimes();
+    private List<TargetInfo> mListed = List.of();
+    private Term mTerm;
+    private LeaseKeeper mLeases;
+    private RunLedger mRuns;
+    private JobBook mJobs;
+    private Placement mPlacement;
+    private boolean mSettled;
+
+    private CellController(CellSettings settings) {
+        mSettings = settings;
+    }
+
+    /** Makes a controller that controls nothing yet. */
+    public static CellController create(CellSettings settings) {
+        return new CellController(settings);
+    }
+
+    /** Fencing token of the term under way. */
+    public Optional<Long> fence() {
+        return Optional.ofNullable(mTerm).map(Term::fence);
+    }
+
+    /** What it has in hand. */
+    public CellState state() {
+        if (mTerm == null) {
+            return CellState.NONE;
+        }
+        int runs = 0;
+        int open = 0;
+        for (Target target : mTerm.targets().values()) {
+            runs += target.runs().size();
+            open += target.open(mTerm.nowMs()) ? 1 : 0;
+        }
+        return new CellState(
+                mTerm.fence(), mTerm.targets().size(), open, mTerm.jobs().size(), runs);
+    }
+
+    /** Handles an event; what is to be done is added to {@code actions}. */
+    public void on(CellEvent event, ClockReading clock, List<CellAction> actions) {
+        if (event instanceof CellEvent.TermBegan began) {
+            begin(began.fence(), clock, actions);
+        } else if (event instanceof CellEvent.TermEnded) {
+            end(actions);
+        } else if (event instanceof CellEvent.TargetsListed listed) {
+            mListed = listed.targets();
+        }
+        if (mTerm == null) {
+            return;
+        }
+        mTerm.at(clock.monotonicMs(), actions);
+        handle(event);
+        startWhatFits();
+    }
+
+    private void begin(long fence, ClockReading clock, List<CellAction> actions) {
+        mTerm = new Term(fence, clock.monotonicMs());
+        mTerm.at(clock.monotonicMs(), actions);
+        mRuns = new RunLedger(mTerm, mTimes);
+        mLeases = new LeaseKeeper(mTerm, mRuns);
+        mPlacement = new Placement(mTerm, mSettings);
+        mJobs = new JobBook(mTerm, mPlacement, new Admission(mTerm, mTimes), mRuns);
+        mRuns.connect(mJobs);
+        mSettled = false;
+        mTerm.log(Decision.self("control", "fence=" + fence, "this VM controls the cell"));
+        mLeases.listed(mListed);
+    }
+
+    private void end(List<CellAction> actions) {
+        if (mTerm == null) {
+            return;
+        }
+        actions.add(
+                new CellAction.Log(
+                        Decision.self(
+                                "control", "fence=" + mTerm.fence(), "this VM controls nothing")));
+        mTerm = null;
+        mListed = List.of();
+    }
+
+    private void handle(CellEvent event) {
+        if (event instanceof CellEvent.TargetsListed listed) {
+            mLeases.listed(listed.targets());
+        } else if (event instanceof CellEvent.Offered offered) {
+            mJobs.offered(offered);
+        } else if (event instanceof CellEvent.Withdrawn withdrawn) {
+            mJobs.withdrawn(withdrawn);
+        } else if (event instanceof CellEvent.LeaseExtended extended) {
+            mLeases.extended(extended);
+        } else if (event instanceof CellEvent.LeaseFailed failed) {
+            mLeases.failed(failed);
+        } else if (event instanceof CellEvent.StartAnswered answered) {
+            mRuns.startAnswered(answered);
+        } else if (event instanceof CellEvent.StopAnswered answered) {
+            mRuns.stopAnswered(answered);
+        } else if (event instanceof CellEvent.Ticked) {
+            mLeases.tick();
+            mRuns.tick();
+            mJobs.tick();
+        }
+    }
+
+    /**
+     * Nothing starts before the term is settled. A job handed in again may still run on a target
+     * that has not reported yet; starting its tasks elsewhere would run them twice at a time.
+     */
+    private boolean settled() {
+        if (mSettled) {
+            return true;
+        }
+        long boundMs = (long) (mSettings.leaseMaxMs() / SLOWEST_CLOCK) + SETTLE_MARGIN_MS;
+        long ageMs = mTerm.nowMs() - mTerm.sinceMs();
+        boolean over = ageMs > boundMs && !mTerm.targets().isEmpty();
+        mSettled = over || mLeases.allReported();
+        if (mSettled) {
+            mTerm.log(
+                    Decision.self(
+                            "settled",
+                            "term_age_ms=" + ageMs + " targets=" + mTerm.targets().size(),
+                            "starts tasks"));
+        }
+        return mSettled;
+    }
+
+    private void startWhatFits() {
+        if (mTerm.waiting().isEmpty() || !settled()) {
+            return;
+        }
+        for (CellJob job : new ArrayList<>(mTerm.waiting())) {
+            boolean all = job.abandoned() || startTasks(job);
+            if (all && !job.abandoned()) {
+                mTerm.waiting().remove(job);
+            }
+        }
+    }
+
+    /** Starts the job's tasks that have room; true when none is left. */
+    private boolean startTasks(CellJob job) {
+        for (CellTask task : job.ready()) {
+            Optional<Target> target = mPlacement.choose(task);
+            if (target.isEmpty()) {
+                return false;
+            }
+            mRuns.start(task, target.get());
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/cell/CellEvent.java
@@ -0,0 +1,85 @@
+package org.boragegap.core.cell;
+
+import java.util.List;
+
+/** What a controller learns. */
+public sealed interface CellEvent {
+
+    /**
+     * This VM controls the cell from now on.
+     *
+     * @param fence fencing token of the term; higher than that of any earlier term
+     */
+    record TermBegan(long fence) implements CellEvent {}
+
+    /** This VM controls the cell no longer. */
+    record TermEnded() implements CellEvent {}
+
+    /**
+     * The platform's whole list of targets.
+     *
+     * @param targets all listed targets
+     */
+    record TargetsListed(List<TargetInfo> targets) implements CellEvent {}
+
+    /**
+     * A job that a caller waits for at an entry VM; may come again.
+     *
+     * @param entry peer address of that entry VM
+     * @param request the job
+     * @param ageMs how long ago the caller handed it in, in ms
+     * @param offers how often the entry VM has offered it to any controller, from 1
+     */
+    record Offered(String entry, JobRequest request, long ageMs, int offers) implements CellEvent {}
+
+    /**
+     * The caller doesn't wait any more.
+     *
+     * @param entry peer address of the entry VM
+     * @param job the job
+     */
+    record Withdrawn(String entry, String job) implements CellEvent {}
+
+    /**
+     * A target extended its lease and reported.
+     *
+     * @param target id of the target
+     * @param call names the call
+     * @param report what it said
+     */
+    record LeaseExtended(String target, long call, TargetReport report) implements CellEvent {}
+
+    /**
+     * A target gave no usable answer to a lease call.
+     *
+     * @param target id of the target
+     * @param call names the call
+     * @param cause why
+     */
+    record LeaseFailed(String target, long call, StartResult cause) implements CellEvent {}
+
+    /**
+     * What became of a start.
+     *
+     * @param target id of the target
+     * @param task the task
+     * @param run number of the start
+     * @param result what became of it
+     */
+    record StartAnswered(String target, TaskName task, int run, StartResult result)
+            implements CellEvent {}
+
+    /**
+     * What became of a stop.
+     *
+     * @param target id of the target
+     * @param task the task
+     * @param run number of the start
+     * @param acknowledged true when the target has taken the order
+     */
+    record StopAnswered(String target, TaskName task, int run, boolean acknowledged)
+            implements CellEvent {}
+
+    /** Time has passed. */
+    record Ticked() implements CellEvent {}
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/cell/CellJob.java
@@ -0,0 +1,154 @@
+package org.boragegap.core.cell;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** A job that the controller has taken on. */
+final class CellJob {
+    /**
+     * Run numbers that each further offer skips. A controller that takes over doesn't know how
+     * often its predecessor started a task; a target rejects a number that it has seen. Far more
+     * than the attempts that a queue allows.
+     */
+    private static final int RUNS_PER_OFFER = 16;
+
+    private final JobRequest mRequest;
+    private final long mArrivedMs;
+    private final long mObjectiveMs;
+    private final long mLongestMs;
+    private final List<List<CellTask>> mSteps = new ArrayList<>();
+    private final Set<String> mEntries = new LinkedHashSet<>();
+    private int mOpenTasks;
+    private boolean mMayHaveStarted;
+    private long mAbandonedMs = -1;
+
+    CellJob(JobRequest request, long arrivedMs, long objectiveMs, long longestMs, int offers) {
+        mRequest = request;
+        mArrivedMs = arrivedMs;
+        mObjectiveMs = objectiveMs;
+        mLongestMs = longestMs;
+        mMayHaveStarted = offers > 1;
+        int firstRun = 1 + RUNS_PER_OFFER * (offers - 1);
+        for (int step = 0; step < request.steps().size(); step++) {
+            addStep(step, firstRun);
+        }
+    }
+
+    private void addStep(int step, int firstRun) {
+        StepRequest request = mRequest.steps().get(step);
+        List<CellTask> tasks = new ArrayList<>();
+        for (int index = 0; index < request.count(); index++) {
+            TaskName name = new TaskName(mRequest.id(), 0, step, index);
+            tasks.add(new CellTask(this, name, request, firstRun));
+        }
+        mSteps.add(tasks);
+        mOpenTasks += tasks.size();
+    }
+
+    String id() {
+        return mRequest.id();
+    }
+
+    JobRequest request() {
+        return mRequest;
+    }
+
+    long arrivedMs() {
+        return mArrivedMs;
+    }
+
+    long objectiveMs() {
+        return mObjectiveMs;
+    }
+
+    /** Latest time at which its longest task can start for the job to meet its objective. */
+    long latestStartMs() {
+        return mArrivedMs + mObjectiveMs - mLongestMs;
+    }
+
+    Set<String> entries() {
+        return mEntries;
+    }
+
+    boolean mayHaveStarted() {
+        return mMayHaveStarted;
+    }
+
+    void startSent() {
+        mMayHaveStarted = true;
+    }
+
+    boolean abandoned() {
+        return mAbandonedMs >= 0;
+    }
+
+    long abandonedMs() {
+        return mAbandonedMs;
+    }
+
+    void abandon(long nowMs) {
+        mAbandonedMs = nowMs;
+    }
+
+    void wanted(String entry) {
+        mEntries.add(entry);
+        mAbandonedMs = -1;
+    }
+
+    List<CellTask> step(int step) {
+        return mSteps.get(step);
+    }
+
+    List<CellTask> tasks() {
+        List<CellTask> all = new ArrayList<>();
+        mSteps.forEach(all::addAll);
+        return all;
+    }
+
+    /** Tasks that may start now: not done, not running, and all steps before them done. */
+    List<CellTask> ready() {
+        List<CellTask> ready = new ArrayList<>();
+        for (List<CellTask> tasks : mSteps) {
+            if (tasks.isEmpty() || !unblocked(tasks.get(0).step())) {
+                continue;
+            }
+            for (CellTask task : tasks) {
+                if (task.idle()) {
+                    ready.add(task);
+                }
+            }
+        }
+        return ready;
+    }
+
+    private boolean unblocked(StepRequest step) {
+        for (int before : step.dependsOn()) {
+            for (CellTask task : mSteps.get(before)) {
+                if (!task.done()) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    /** Counts a task as done; true when it was the last. */
+    boolean finish(CellTask task) {
+        task.finished();
+        mOpenTasks--;
+        return mOpenTasks == 0;
+    }
+
+    boolean hasRuns() {
+        for (List<CellTask> tasks : mSteps) {
+            for (CellTask task : tasks) {
+                if (task.run().isPresent()) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/cell/CellState.java
@@ -0,0 +1,15 @@
+package org.boragegap.core.cell;
+
+/**
+ * What a controller has in hand, for metrics and dumps.
+ *
+ * @param fence fencing token of the term; 0 when this VM controls nothing
+ * @param targets targets known
+ * @param open targets that may be given work
+ * @param jobs jobs taken on and not ended
+ * @param runs runs ordered and not known to have ended
+ */
+public record CellState(long fence, int targets, int open, int jobs, int runs) {
+    /** Of a VM that controls nothing. */
+    public static final CellState NONE = new CellState(0, 0, 0, 0, 0);
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/cell/CellTask.java
@@ -0,0 +1,73 @@
+package org.boragegap.core.cell;
+
+import java.util.Optional;
+
+/** One task of a job, with its run if it has one. */
+final class CellTask {
+    private final CellJob mJob;
+    private final TaskName mName;
+    private final StepRequest mStep;
+    private Run mRun;
+    private boolean mDone;
+    private int mFailures;
+    private int mNextRun;
+
+    CellTask(CellJob job, TaskName name, StepRequest step, int firstRun) {
+        mJob = job;
+        mName = name;
+        mStep = step;
+        mNextRun = firstRun;
+    }
+
+    CellJob job() {
+        return mJob;
+    }
+
+    TaskName name() {
+        return mName;
+    }
+
+    StepRequest step() {
+        return mStep;
+    }
+
+    boolean done() {
+        return mDone;
+    }
+
+    boolean idle() {
+        return !mDone && mRun == null;
+    }
+
+    Optional<Run> run() {
+        return Optional.ofNullable(mRun);
+    }
+
+    int takeRunNumber() {
+        return mNextRun++;
+    }
+
+    /** Makes sure that the next start has a number above this one. */
+    void skipRunsUpTo(int number) {
+        mNextRun = Math.max(mNextRun, number + 1);
+    }
+
+    void began(Run run) {
+        mRun = run;
+        skipRunsUpTo(run.number());
+    }
+
+    void released() {
+        mRun = null;
+    }
+
+    void finished() {
+        mRun = null;
+        mDone = true;
+    }
+
+    int countFailure() {
+        mRun = null;
+        return ++mFailures;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/cell/EntryDesk.java
@@ -0,0 +1,224 @@
+package org.boragegap.core.cell;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.boragegap.core.ClockReading;
+
+/**
+ * Keeps what the callers of one entry VM wait for, and hands it to whoever controls the cell.
+ *
+ * <p>The entry VM holds each job until it is answered. When a controller is replaced, the jobs are
+ * offered to the next one: no waiting job depends on the memory of a single VM.
+ */
+public final class EntryDesk {
+    /**
+     * Silence of the controller, in ms, after which no more jobs are handed to it; several of its
+     * heartbeats.
+     */
+    private static final long SILENCE_MS = 800;
+
+    /**
+     * How long a job may wait for a controller to be known, in ms. A planned hand-over takes some
+     * ten ms; a caller is better served by coming back than by waiting longer.
+     */
+    private static final long HAND_OVER_MS = 250;
+
+    /** When a caller should come back after a refusal for want of a controller, in ms. */
+    private static final long RETRY_AFTER_MS = 1_000;
+
+    /** A job without a verdict is offered again after this time, in ms: a frame may be lost. */
+    private static final long OFFER_AGAIN_MS = 1_000;
+
+    private final Map<String, Waiting> mWaiting = new HashMap<>();
+    private final Map<Long, String> mJobs = new HashMap<>();
+    private String mController = "";
+    private long mFence;
+    private long mHeardMs;
+    private boolean mDraining;
+    private long mNowMs;
+    private List<EntryAction> mActions;
+
+    private record Caller(long ticket, long arrivedMs, long giveUpMs) {}
+
+    private static final class Waiting {
+        private final JobRequest mRequest;
+        private final List<Caller> mCallers = new ArrayList<>();
+        private int mOffers;
+        private long mOfferedMs;
+        private long mOfferedFence;
+
+        private Waiting(JobRequest request) {
+            mRequest = request;
+        }
+
+        private long arrivedMs() {
+            return mCallers.isEmpty() ? 0 : mCallers.get(0).arrivedMs();
+        }
+    }
+
+    private EntryDesk() {}
+
+    /** Makes a desk at which nobody waits. */
+    public static EntryDesk create() {
+        return new EntryDesk();
+    }
+
+    /** Address of the controller, if one was heard of lately. */
+    public Optional<String> controller(long nowMs) {
+        boolean silent = mController.isEmpty() || nowMs - mHeardMs > SILENCE_MS;
+        return silent ? Optional.empty() : Optional.of(mController);
+    }
+
+    /** Highest fencing token heard of. */
+    public long fence() {
+        return mFence;
+    }
+
+    /** How many callers wait. */
+    public int waiting() {
+        return mJobs.size();
+    }
+
+    /** Handles an event; what is to be done is added to {@code actions}. */
+    public void on(EntryEvent event, ClockReading clock, List<EntryAction> actions) {
+        mNowMs = clock.monotonicMs();
+        mActions = actions;
+        if (event instanceof EntryEvent.Submitted submitted) {
+            submitted(submitted);
+        } else if (event instanceof EntryEvent.CallerLeft left) {
+            callerLeft(left.ticket());
+        } else if (event instanceof EntryEvent.ControllerHeard heard) {
+            heard(heard);
+        } else if (event instanceof EntryEvent.Decided decided) {
+            decided(decided);
+        } else if (event instanceof EntryEvent.Draining) {
+            mDraining = true;
+        } else if (event instanceof EntryEvent.Ticked) {
+            tick();
+        }
+    }
+
+    private void submitted(EntryEvent.Submitted event) {
+        String id = event.request().id();
+        Caller caller = new Caller(event.ticket(), mNowMs, mNowMs + event.budgetMs());
+        if (mDraining) {
+            decline(caller, id, "this VM is stopping");
+            return;
+        }
+        mJobs.put(event.ticket(), id);
+        Waiting waiting = mWaiting.get(id);
+        if (waiting != null) {
+            waiting.mCallers.add(caller);
+            return;
+        }
+        waiting = new Waiting(event.request());
+        waiting.mCallers.add(caller);
+        mWaiting.put(id, waiting);
+        if (controller(mNowMs).isPresent()) {
+            offer(waiting);
+        }
+    }
+
+    private void offer(Waiting waiting) {
+        if (waiting.mOfferedFence != mFence) {
+            waiting.mOffers++;
+            waiting.mOfferedFence = mFence;
+        }
+        waiting.mOfferedMs = mNowMs;
+        long ageMs = mNowMs - waiting.arrivedMs();
+        CellMessage message = new CellMessage.Offer(waiting.mRequest, ageMs, waiting.mOffers);
+        mActions.add(new EntryAction.Tell(mController, message));
+    }
+
+    private void decline(Caller caller, String job, String reason) {
+        reply(caller, job, new Verdict.Declined(reason, RETRY_AFTER_MS));
+    }
+
+    private void reply(Caller caller, String job, Verdict verdict) {
+        mJobs.remove(caller.ticket());
+        long waitedMs = mNowMs - caller.arrivedMs();
+        mActions.add(new EntryAction.Reply(caller.ticket(), job, verdict, waitedMs));
+    }
+
+    private void callerLeft(long ticket) {
+        String id = mJobs.remove(ticket);
+        if (id == null) {
+            return;
+        }
+        Waiting waiting = mWaiting.get(id);
+        waiting.mCallers.removeIf(caller -> caller.ticket() == ticket);
+        if (waiting.mCallers.isEmpty()) {
+            withdraw(id, "caller left");
+        }
+    }
+
+    private void withdraw(String id, String cause) {
+        Waiting waiting = mWaiting.remove(id);
+        if (waiting.mOffers > 0) {
+            mActions.add(new EntryAction.Tell(mController, new CellMessage.Withdraw(id)));
+        }
+        mActions.add(
+                new EntryAction.Log(
+                        Decision.job("withdraw", id, "offers=" + waiting.mOffers, cause)));
+    }
+
+    private void heard(EntryEvent.ControllerHeard heard) {
+        if (heard.fence() < mFence) {
+            return;
+        }
+        boolean another = heard.fence() > mFence;
+        boolean back = controller(mNowMs).isEmpty();
+        mController = heard.address();
+        mFence = heard.fence();
+        mHeardMs = mNowMs;
+        if (another) {
+            String inputs = "fence=" + mFence + " address=" + mController;
+            mActions.add(
+                    new EntryAction.Log(
+                            Decision.self(
+                                    "controller", inputs, mWaiting.size() + " jobs offered")));
+        }
+        if (another || back) {
+            mWaiting.values().forEach(this::offer);
+        }
+    }
+
+    private void decided(EntryEvent.Decided event) {
+        Waiting waiting = mWaiting.remove(event.job());
+        if (waiting == null) {
+            return;
+        }
+        for (Caller caller : waiting.mCallers) {
+            reply(caller, event.job(), event.verdict());
+        }
+    }
+
+    private void tick() {
+        boolean known = controller(mNowMs).isPresent();
+        for (Waiting waiting : new ArrayList<>(mWaiting.values())) {
+            giveUp(waiting);
+            if (waiting.mCallers.isEmpty()) {
+                withdraw(waiting.mRequest.id(), "time is over");
+            } else if (known && mNowMs - waiting.mOfferedMs > OFFER_AGAIN_MS) {
+                offer(waiting);
+            }
+        }
+    }
+
+    /** Answers the callers of this job whose time is over, or whom nobody can serve. */
+    private void giveUp(Waiting waiting) {
+        String id = waiting.mRequest.id();
+        for (Caller caller : List.copyOf(waiting.mCallers)) {
+            if (waiting.mOffers == 0 && mNowMs - caller.arrivedMs() > HAND_OVER_MS) {
+                waiting.mCallers.remove(caller);
+                decline(caller, id, "no controller is known");
+            } else if (mNowMs >= caller.giveUpMs()) {
+                waiting.mCallers.remove(caller);
+                reply(caller, id, new Verdict.InDoubt("no verdict in time"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/cell/JobBook.java
@@ -0,0 +1,160 @@
+package org.boragegap.core.cell;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Takes jobs on, and tells the entry VMs how they ended. */
+final class JobBook {
+    /**
+     * How long a verdict is kept, in ms. A caller whose connection broke hands the job in again
+     * after a second or two, and gets the same answer.
+     */
+    private static final long VERDICT_KEEP_MS = 10_000;
+
+    /** How long a job without a caller is kept for its return, in ms; see above. */
+    private static final long ABANDONED_KEEP_MS = 3_000;
+
+    private record Kept(Verdict verdict, long atMs) {}
+
+    private final Term mTerm;
+    private final Placement mPlacement;
+    private final Admission mAdmission;
+    private final RunLedger mRuns;
+    private final Map<String, Kept> mVerdicts = new LinkedHashMap<>();
+
+    JobBook(Term term, Placement placement, Admission admission, RunLedger runs) {
+        mTerm = term;
+        mPlacement = placement;
+        mAdmission = admission;
+        mRuns = runs;
+    }
+
+    void offered(CellEvent.Offered offer) {
+        String id = offer.request().id();
+        Kept kept = mVerdicts.get(id);
+        if (kept != null) {
+            answer(offer.entry(), id, kept.verdict());
+            return;
+        }
+        CellJob known = mTerm.jobs().get(id);
+        if (known != null) {
+            known.wanted(offer.entry());
+            return;
+        }
+        consider(offer);
+    }
+
+    private void consider(CellEvent.Offered offer) {
+        JobRequest request = offer.request();
+        long longestMs = mAdmission.longestMs(request);
+        long objectiveMs = Math.round(request.stretch() * longestMs) + request.aimMs();
+        long arrivedMs = mTerm.nowMs() - offer.ageMs();
+        CellJob job = new CellJob(request, arrivedMs, objectiveMs, longestMs, offer.offers());
+        if (!mTerm.targets().isEmpty() && !mPlacement.possible(request)) {
+            refuse(offer.entry(), job, "no target can hold it", 0);
+            return;
+        }
+        long waitMs = mAdmission.waitMs();
+        boolean hopeless = mAdmission.tooLate(job, waitMs) && !mPlacement.roomFor(job);
+        if (hopeless && !job.mayHaveStarted()) {
+            refuse(offer.entry(), job, "would wait too long", waitMs);
+            return;
+        }
+        job.wanted(offer.entry());
+        mTerm.jobs().put(job.id(), job);
+        mTerm.waiting().add(job);
+        mTerm.log(
+                Decision.job(
+                        "admit",
+                        job.id(),
+                        "queue="
+                                + request.queue()
+                                + " config="
+                                + request.configVersion()
+                                + " age_ms="
+                                + offer.ageMs()
+                                + " wait_ms="
+                                + waitMs
+                                + " objective_ms="
+                                + objectiveMs
+                                + " offers="
+                                + offer.offers(),
+                        "accepted"));
+        mRuns.adopt(job);
+    }
+
+    private void refuse(String entry, CellJob job, String reason, long waitMs) {
+        Verdict verdict =
+                job.mayHaveStarted()
+                        ? new Verdict.InDoubt(reason)
+                        : new Verdict.Declined(reason, mAdmission.retryAfterMs(waitMs));
+        mTerm.log(
+                Decision.job(
+                        "refuse",
+                        job.id(),
+                        "queue="
+                                + job.request().queue()
+                                + " wait_ms="
+                                + waitMs
+                                + " objective_ms="
+                                + job.objectiveMs(),
+                        reason));
+        answer(entry, job.id(), verdict);
+    }
+
+    private void answer(String entry, String job, Verdict verdict) {
+        mTerm.act(new CellAction.Answer(entry, job, verdict));
+    }
+
+    void withdrawn(CellEvent.Withdrawn event) {
+        CellJob job = mTerm.jobs().get(event.job());
+        if (job == null) {
+            return;
+        }
+        job.entries().remove(event.entry());
+        if (job.entries().isEmpty() && !job.abandoned()) {
+            job.abandon(mTerm.nowMs());
+            mTerm.log(Decision.job("abandon", job.id(), "callers=0", "starts nothing more"));
+        }
+    }
+
+    /** Ends a job: tells its callers, keeps the verdict, stops what still runs. */
+    void end(CellJob job, Verdict verdict) {
+        mTerm.jobs().remove(job.id());
+        mTerm.waiting().remove(job);
+        mVerdicts.put(job.id(), new Kept(verdict, mTerm.nowMs()));
+        for (String entry : job.entries()) {
+            answer(entry, job.id(), verdict);
+        }
+        for (CellTask task : job.tasks()) {
+            task.run().ifPresent(mRuns::stop);
+        }
+        mTerm.log(
+                Decision.job(
+                        "end",
+                        job.id(),
+                        "took_ms="
+                                + (mTerm.nowMs() - job.arrivedMs())
+                                + " objective_ms="
+                                + job.objectiveMs(),
+                        verdict.getClass().getSimpleName()));
+    }
+
+    void tick() {
+        mVerdicts.values().removeIf(kept -> mTerm.nowMs() - kept.atMs() > VERDICT_KEEP_MS);
+        List<CellJob> gone = new ArrayList<>();
+        for (CellJob job : mTerm.jobs().values()) {
+            boolean unwanted =
+                    job.abandoned() && mTerm.nowMs() - job.abandonedMs() > ABANDONED_KEEP_MS;
+            if (unwanted && !job.hasRuns()) {
+                gone.add(job);
+            }
+        }
+        for (CellJob job : gone) {
+            mTerm.jobs().remove(job.id());
+            mTerm.waiting().remove(job);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/cell/Run.java
@@ -0,0 +1,109 @@
+package org.boragegap.core.cell;
+
+/** One start of one task on one target, from the order until its end is known. */
+final class Run {
+    enum State {
+        /** The order to start is under way. */
+        STARTING,
+        /** The order got no answer: the target may carry it out at any time. */
+        UNSETTLED,
+        /** The target said that it runs. */
+        RUNNING
+    }
+
+    private final CellTask mTask;
+    private final int mNumber;
+    private final Target mTarget;
+    private final long mOrderedMs;
+    private State mState;
+    private long mConfirmedMs;
+    private int mPercent;
+    private boolean mStopAsked;
+    private long mStopSentMs;
+    private boolean mStopAcknowledged;
+    private long mStopAcknowledgedMs;
+
+    Run(CellTask task, int number, Target target, long nowMs, State state) {
+        mTask = task;
+        mNumber = number;
+        mTarget = target;
+        mOrderedMs = nowMs;
+        mConfirmedMs = nowMs;
+        mState = state;
+    }
+
+    CellTask task() {
+        return mTask;
+    }
+
+    int number() {
+        return mNumber;
+    }
+
+    Target target() {
+        return mTarget;
+    }
+
+    State state() {
+        return mState;
+    }
+
+    long orderedMs() {
+        return mOrderedMs;
+    }
+
+    long confirmedMs() {
+        return mConfirmedMs;
+    }
+
+    int percent() {
+        return mPercent;
+    }
+
+    void reported(int percent, long nowMs) {
+        confirm(nowMs);
+        mPercent = percent;
+    }
+
+    void confirm(long nowMs) {
+        if (mState != State.RUNNING) {
+            mState = State.RUNNING;
+            mConfirmedMs = nowMs;
+        }
+    }
+
+    void loseTrack() {
+        if (mState == State.STARTING) {
+            mState = State.UNSETTLED;
+        }
+    }
+
+    void askStop(long nowMs) {
+        mStopAsked = true;
+        mStopSentMs = nowMs;
+    }
+
+    boolean stopAsked() {
+        return mStopAsked;
+    }
+
+    /** True when a stop was asked for and not acknowledged for this long. */
+    boolean stopOverdue(long nowMs, long retryMs) {
+        return mStopAsked && !mStopAcknowledged && nowMs - mStopSentMs >= retryMs;
+    }
+
+    void stopAcknowledged(long nowMs) {
+        mStopAcknowledged = true;
+        mStopAcknowledgedMs = nowMs;
+    }
+
+    /**
+     * True when a report asked for at {@code sentMs} that doesn't list this run proves that it does
+     * not run and never will: the target had confirmed it, or had promised to reject it, before.
+     */
+    boolean absenceIsFinal(long sentMs) {
+        boolean confirmed = mState == State.RUNNING && mConfirmedMs < sentMs;
+        boolean rejected = mStopAcknowledged && mStopAcknowledgedMs < sentMs;
+        return confirmed || rejected;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/cell/RunLedger.java
@@ -0,0 +1,399 @@
+package org.boragegap.core.cell;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Follows each run from the order to start it until its end is known.
+ *
+ * <p>An order without an answer may be carried out seconds later. Its task starts nowhere else
+ * until that is ruled out: the target has promised to reject that run, or its lease is over.
+ */
+final class RunLedger {
+    /** Pause before a stop without an answer is sent again, in ms; a few round trips. */
+    private static final long STOP_RETRY_MS = 300;
+
+    /**
+     * How long runs whose job nobody has offered are left alone, in ms. Entry VMs offer again as
+     * soon as they hear of a new controller, which takes a heartbeat or two.
+     */
+    private static final long FOREIGN_GRACE_MS = 600;
+
+    /** Ends of jobs that nobody has offered are kept up to this number; a few seconds' worth. */
+    private static final int MOST_FOREIGN_DONE = 5_000;
+
+    /** Failed runs in a row after which a target is given a rest. */
+    private static final int TROUBLES_TO_AVOID = 3;
+
+    /** First rest of a target that fails everything, in ms; doubled each time, up to the most. */
+    private static final long FIRST_REST_MS = 500;
+
+    private static final long MOST_REST_MS = 8_000;
+
+    /** A run is stuck after this many times its expected time and a pause, if hardly under way. */
+    private static final double STUCK_FACTOR = 2.5;
+
+    private static final long STUCK_SLACK_MS = 200;
+
+    private final Term mTerm;
+    private final RunTimes mTimes;
+    private final Set<TaskName> mForeignDone = new LinkedHashSet<>();
+    private JobBook mJobs;
+
+    RunLedger(Term term, RunTimes times) {
+        mTerm = term;
+        mTimes = times;
+    }
+
+    /** Connects the two halves; to be called once, before use. */
+    void connect(JobBook jobs) {
+        mJobs = jobs;
+    }
+
+    void start(CellTask task, Target target) {
+        int number = task.takeRunNumber();
+        Run run = new Run(task, number, target, mTerm.nowMs(), Run.State.STARTING);
+        task.began(run);
+        target.add(run);
+        task.job().startSent();
+        mTerm.act(orderFor(run, target));
+        mTerm.log(
+                Decision.run(
+                        "start",
+                        task.name(),
+                        target.id(),
+                        "run="
+                                + number
+                                + " speed="
+                                + Math.round(target.speed() * 100)
+                                + " free_cpu="
+                                + target.freeCpu()
+                                + " waited_ms="
+                                + (mTerm.nowMs() - task.job().arrivedMs()),
+                        "ordered"));
+    }
+
+    private CellAction.StartRun orderFor(Run run, Target target) {
+        long untilMs = target.clockAt(mTerm.nowMs()) + LeaseKeeper.LEASE_MS;
+        target.leaseSent(untilMs);
+        CellTask task = run.task();
+        return new CellAction.StartRun(
+                target.info(),
+                task.name(),
+                run.number(),
+                task.job().request().spec(),
+                mTerm.fence(),
+                untilMs);
+    }
+
+    void startAnswered(CellEvent.StartAnswered event) {
+        Target target = mTerm.targets().get(event.target());
+        if (target == null) {
+            return;
+        }
+        target.run(event.task(), event.run()).ifPresent(run -> settle(run, event.result()));
+    }
+
+    private void settle(Run run, StartResult result) {
+        switch (result) {
+            case STARTED -> run.confirm(mTerm.nowMs());
+            case UNKNOWN -> {
+                if (run.state() == Run.State.STARTING) {
+                    run.loseTrack();
+                    stop(run);
+                }
+            }
+            case FENCED -> mTerm.act(new CellAction.Deposed());
+            case OLD_RUN, NOT_RUN, NO_ROOM, OTHER_INCARNATION -> notRun(run, result);
+            default -> throw new IllegalArgumentException("no such result: " + result);
+        }
+    }
+
+    private void notRun(Run run, StartResult result) {
+        if (run.state() == Run.State.RUNNING) {
+            return;
+        }
+        release(run, "start " + result);
+        if (result == StartResult.OLD_RUN) {
+            run.task().skipRunsUpTo(run.number() + TROUBLES_TO_AVOID);
+        }
+        if (result == StartResult.NOT_RUN || result == StartResult.NO_ROOM) {
+            trouble(run.target());
+        }
+    }
+
+    /** Frees the run's room and lets its task start again. */
+    private void release(Run run, String cause) {
+        run.target().remove(run);
+        if (run.task().run().filter(current -> current == run).isPresent()) {
+            run.task().released();
+            requeue(run.task());
+        }
+        mTerm.log(
+                Decision.run(
+                        "release",
+                        run.task().name(),
+                        run.target().id(),
+                        "run=" + run.number() + " age_ms=" + (mTerm.nowMs() - run.orderedMs()),
+                        cause));
+    }
+
+    private void requeue(CellTask task) {
+        CellJob job = task.job();
+        if (mTerm.jobs().get(job.id()) == job) {
+            mTerm.waiting().add(job);
+        }
+    }
+
+    void stop(Run run) {
+        run.askStop(mTerm.nowMs());
+        mTerm.act(
+                new CellAction.StopRun(
+                        run.target().info(), run.task().name(), run.number(), mTerm.fence()));
+    }
+
+    void stopAnswered(CellEvent.StopAnswered event) {
+        Target target = mTerm.targets().get(event.target());
+        if (target == null || !event.acknowledged()) {
+            return;
+        }
+        target.run(event.task(), event.run()).ifPresent(run -> run.stopAcknowledged(mTerm.nowMs()));
+    }
+
+    /** Takes a report that was asked for at {@code sentMs}. */
+    void reported(Target target, TargetReport report, long sentMs) {
+        for (TargetReport.EndedRow row : report.ended()) {
+            if (row.number() > target.acknowledged()) {
+                ended(target, row);
+                target.acknowledge(row.number());
+            }
+        }
+        Map<TaskName, TargetReport.RunningRow> listed = new HashMap<>();
+        for (TargetReport.RunningRow row : report.running()) {
+            listed.put(row.task(), row);
+            running(target, row);
+        }
+        target.foreign().keySet().removeIf(foreign -> !listed.containsKey(foreign.task()));
+        for (Run run : new ArrayList<>(target.runs().values())) {
+            if (!listed.containsKey(run.task().name()) && run.absenceIsFinal(sentMs)) {
+                release(run, "not there");
+            }
+        }
+    }
+
+    private void running(Target target, TargetReport.RunningRow row) {
+        Run run = target.run(row.task(), row.run()).orElse(null);
+        if (run != null) {
+            run.reported(row.percent(), mTerm.nowMs());
+            return;
+        }
+        Target.ForeignRun foreign = new Target.ForeignRun(row.task(), row.run());
+        target.foreign().putIfAbsent(foreign, mTerm.nowMs());
+        CellJob job = mTerm.jobs().get(row.task().job());
+        if (job != null) {
+            adoptRun(job, target, foreign);
+        }
+    }
+
+    private void ended(Target target, TargetReport.EndedRow row) {
+        Run run = target.run(row.task(), row.run()).orElse(null);
+        if (run == null) {
+            target.foreign().remove(new Target.ForeignRun(row.task(), row.run()));
+            foreignEnd(row);
+            return;
+        }
+        target.remove(run);
+        CellTask task = run.task();
+        boolean current = task.run().filter(r -> r == run).isPresent();
+        CellJob job = task.job();
+        boolean wanted = mTerm.jobs().get(job.id()) == job;
+        mTerm.log(
+                Decision.run(
+                        "ended",
+                        task.name(),
+                        target.id(),
+                        "run=" + run.number() + " took_ms=" + (mTerm.nowMs() - run.confirmedMs()),
+                        row.cause().name()));
+        if (row.cause().done()) {
+            learn(run);
+            target.sound();
+        }
+        if (current && wanted) {
+            conclude(task, row.cause());
+        }
+        if (row.cause().countsAsAttempt()) {
+            trouble(target);
+        }
+    }
+
+    private void conclude(CellTask task, EndCause cause) {
+        CellJob job = task.job();
+        if (cause.done()) {
+            if (job.finish(task)) {
+                mJobs.end(job, new Verdict.Completed());
+            } else {
+                requeue(task);
+            }
+            return;
+        }
+        task.released();
+        if (cause.countsAsAttempt()
+                && task.countFailure() >= Math.max(1, job.request().maxAttempts())) {
+            mJobs.end(job, new Verdict.Failed("task " + task.name().index() + " failed too often"));
+            return;
+        }
+        requeue(task);
+    }
+
+    private void foreignEnd(TargetReport.EndedRow row) {
+        if (row.cause().done()) {
+            rememberDone(row.task());
+        }
+        CellJob job = mTerm.jobs().get(row.task().job());
+        if (job != null) {
+            creditDone(job);
+        }
+    }
+
+    private void rememberDone(TaskName task) {
+        mForeignDone.add(task);
+        if (mForeignDone.size() > MOST_FOREIGN_DONE) {
+            Iterator<TaskName> oldest = mForeignDone.iterator();
+            oldest.next();
+            oldest.remove();
+        }
+    }
+
+    private void learn(Run run) {
+        StepRequest step = run.task().step();
+        String queue = run.task().job().request().queue();
+        double tookMs = mTerm.nowMs() - run.confirmedMs();
+        double expectedMs = mTimes.expectedMs(queue, step);
+        run.target().sample(expectedMs, tookMs);
+        mTimes.add(queue, step, tookMs * run.target().speed());
+    }
+
+    private void trouble(Target target) {
+        int troubles = target.troubled();
+        if (troubles < TROUBLES_TO_AVOID) {
+            return;
+        }
+        int doublings = Math.min(troubles - TROUBLES_TO_AVOID, 10);
+        long restMs = Math.min(MOST_REST_MS, FIRST_REST_MS << doublings);
+        target.avoid(mTerm.nowMs() + restMs);
+        mTerm.log(
+                Decision.target(
+                        "avoid",
+                        target.id(),
+                        "failures_in_a_row=" + troubles,
+                        "one probe after " + restMs + " ms"));
+    }
+
+    /** Takes over what already runs, or has ended, of a job that was just offered. */
+    void adopt(CellJob job) {
+        creditDone(job);
+        for (Target target : mTerm.targets().values()) {
+            for (Target.ForeignRun foreign : List.copyOf(target.foreign().keySet())) {
+                if (foreign.task().job().equals(job.id())) {
+                    adoptRun(job, target, foreign);
+                }
+            }
+        }
+    }
+
+    private void creditDone(CellJob job) {
+        for (CellTask task : job.tasks()) {
+            boolean done = mForeignDone.remove(task.name());
+            if (done && task.idle() && job.finish(task)) {
+                mJobs.end(job, new Verdict.Completed());
+            }
+        }
+    }
+
+    private void adoptRun(CellJob job, Target target, Target.ForeignRun foreign) {
+        CellTask task =
+                job.tasks().stream()
+                        .filter(candidate -> candidate.name().equals(foreign.task()))
+                        .findFirst()
+                        .orElse(null);
+        if (task == null || !task.idle()) {
+            return;
+        }
+        Run run = new Run(task, foreign.run(), target, mTerm.nowMs(), Run.State.RUNNING);
+        task.began(run);
+        target.foreign().remove(foreign);
+        target.add(run);
+        mTerm.log(
+                Decision.run("adopt", task.name(), target.id(), "run=" + foreign.run(), "runs on"));
+    }
+
+    /** Everything on the target has surely ended: its lease is over, or its incarnation is gone. */
+    void allOver(Target target, String cause) {
+        for (Run run : new ArrayList<>(target.runs().values())) {
+            release(run, cause);
+        }
+        target.lose();
+    }
+
+    void tick() {
+        for (Target target : mTerm.targets().values()) {
+            for (Run run : new ArrayList<>(target.runs().values())) {
+                watch(run);
+            }
+            stopForeign(target);
+        }
+    }
+
+    private void watch(Run run) {
+        if (run.stopOverdue(mTerm.nowMs(), STOP_RETRY_MS)) {
+            stop(run);
+        } else if (!run.stopAsked() && stuck(run)) {
+            mTerm.log(
+                    Decision.run(
+                            "stuck",
+                            run.task().name(),
+                            run.target().id(),
+                            "age_ms="
+                                    + (mTerm.nowMs() - run.confirmedMs())
+                                    + " percent="
+                                    + run.percent(),
+                            "stopped, to run elsewhere"));
+            run.target().sample(1, STUCK_FACTOR);
+            trouble(run.target());
+            stop(run);
+        }
+    }
+
+    /** A target that stands still shows as a run far over its time that has hardly begun. */
+    private boolean stuck(Run run) {
+        if (run.state() != Run.State.RUNNING) {
+            return false;
+        }
+        double expectedMs =
+                mTimes.expectedMs(run.task().job().request().queue(), run.task().step());
+        double boundMs = STUCK_FACTOR * expectedMs / Math.max(0.2, run.target().speed());
+        long ageMs = mTerm.nowMs() - run.confirmedMs();
+        return ageMs > boundMs + STUCK_SLACK_MS && run.percent() < 50;
+    }
+
+    private void stopForeign(Target target) {
+        target.foreign()
+                .forEach(
+                        (foreign, sinceMs) -> {
+                            if (mTerm.nowMs() - sinceMs > FOREIGN_GRACE_MS) {
+                                target.foreign().put(foreign, mTerm.nowMs());
+                                mTerm.act(
+                                        new CellAction.StopRun(
+                                                target.info(),
+                                                foreign.task(),
+                                                foreign.run(),
+                                                mTerm.fence()));
+                            }
+                        });
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/cell/Target.java
@@ -0,0 +1,249 @@
+package org.boragegap.core.cell;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The account of one target: its lease, its clock, what runs there and what room is left.
+ *
+ * <p>Targets may start whatever they are told to, so the account has to be exact: room counts as
+ * taken from the order to start until the target has listed the end, or its lease is surely over.
+ */
+final class Target {
+    /** A target's clock may run this much slower than ours; bound of the platform. */
+    private static final double SLOWEST_CLOCK = 0.98;
+
+    /** Weight of a new sample of the speed: about the last ten tasks decide. */
+    private static final double SPEED_WEIGHT = 0.1;
+
+    /** A foreign run: its size isn't known until its job is offered. */
+    record ForeignRun(TaskName task, int run) {}
+
+    private TargetInfo mInfo;
+    private final Map<TaskName, Run> mRuns = new LinkedHashMap<>();
+    private final Map<ForeignRun, Long> mForeign = new HashMap<>();
+    private int mUsedCpu;
+    private int mUsedMemory;
+    private int mUsedAccelerators;
+    private boolean mReported;
+    private boolean mLost;
+    private long mClockMs;
+    private long mClockReadMs;
+    private long mLeaseEndMs;
+    private long mAcknowledged;
+    private long mCall;
+    private long mCallSentMs;
+    private boolean mCallUnderWay;
+    private long mNextCallMs;
+    private long mUnlistedMs = -1;
+    private double mSpeed = 1.0;
+    private int mTroubles;
+    private long mAvoidUntilMs;
+
+    Target(TargetInfo info) {
+        mInfo = info;
+    }
+
+    TargetInfo info() {
+        return mInfo;
+    }
+
+    String id() {
+        return mInfo.id();
+    }
+
+    void listed(TargetInfo info) {
+        mInfo = info;
+        mUnlistedMs = -1;
+    }
+
+    void unlisted(long nowMs) {
+        if (mUnlistedMs < 0) {
+            mUnlistedMs = nowMs;
+        }
+    }
+
+    boolean unlistedFor(long nowMs, long spanMs) {
+        return mUnlistedMs >= 0 && nowMs - mUnlistedMs > spanMs;
+    }
+
+    // Runs and room
+
+    Map<TaskName, Run> runs() {
+        return mRuns;
+    }
+
+    Map<ForeignRun, Long> foreign() {
+        return mForeign;
+    }
+
+    Optional<Run> run(TaskName task, int number) {
+        Run run = mRuns.get(task);
+        return run != null && run.number() == number ? Optional.of(run) : Optional.empty();
+    }
+
+    void add(Run run) {
+        StepRequest step = run.task().step();
+        mRuns.put(run.task().name(), run);
+        mUsedCpu += step.cpuMillis();
+        mUsedMemory += step.memoryMb();
+        mUsedAccelerators += step.accelerators();
+    }
+
+    void remove(Run run) {
+        StepRequest step = run.task().step();
+        if (mRuns.remove(run.task().name(), run)) {
+            mUsedCpu -= step.cpuMillis();
+            mUsedMemory -= step.memoryMb();
+            mUsedAccelerators -= step.accelerators();
+        }
+    }
+
+    int freeCpu() {
+        return mInfo.cpuMillis() - mUsedCpu;
+    }
+
+    boolean fits(StepRequest step) {
+        return step.cpuMillis() <= mInfo.cpuMillis() - mUsedCpu
+                && step.memoryMb() <= mInfo.memoryMb() - mUsedMemory
+                && step.accelerators() <= mInfo.accelerators() - mUsedAccelerators;
+    }
+
+    /** True when the step's tasks could run here if nothing else did. */
+    boolean couldHold(StepRequest step) {
+        return step.cpuMillis() <= mInfo.cpuMillis()
+                && step.memoryMb() <= mInfo.memoryMb()
+                && step.accelerators() <= mInfo.accelerators()
+                && step.requiredLabel().map(mInfo.labels()::contains).orElse(true);
+    }
+
+    long runsOf(String job, int step) {
+        return mRuns.keySet().stream()
+                .filter(name -> name.job().equals(job) && name.step() == step)
+                .count();
+    }
+
+    /** True when it may be given work. */
+    boolean open(long nowMs) {
+        return mReported
+                && !mLost
+                && !mInfo.draining()
+                && mForeign.isEmpty()
+                && nowMs >= mAvoidUntilMs
+                && (mAvoidUntilMs == 0 || mRuns.isEmpty());
+    }
+
+    // Lease and clock
+
+    boolean reported() {
+        return mReported;
+    }
+
+    /** Takes the clock that came with an answer. */
+    void readClock(long clockMs, long nowMs) {
+        mReported = true;
+        mLost = false;
+        if (clockMs >= mClockMs) {
+            mClockMs = clockMs;
+            mClockReadMs = nowMs;
+        }
+    }
+
+    /** The target's clock as it may be now, at the most. */
+    long clockAt(long nowMs) {
+        return mClockMs + (nowMs - mClockReadMs);
+    }
+
+    /**
+     * Notes that an order with this lease end may reach the target. Its own clock may be slow, so
+     * by ours the lease may last that much longer.
+     */
+    void leaseSent(long untilMs) {
+        long endMs = mClockReadMs + (long) Math.ceil((untilMs - mClockMs) / SLOWEST_CLOCK);
+        mLeaseEndMs = Math.max(mLeaseEndMs, endMs);
+    }
+
+    /** True when whatever ran on it has lapsed, and orders still under way will be rejected. */
+    boolean leaseOver(long nowMs, long slackMs) {
+        return mReported && nowMs > mLeaseEndMs + slackMs;
+    }
+
+    boolean lost() {
+        return mLost;
+    }
+
+    void lose() {
+        mLost = true;
+        mForeign.clear();
+    }
+
+    long acknowledged() {
+        return mAcknowledged;
+    }
+
+    void acknowledge(long number) {
+        mAcknowledged = Math.max(mAcknowledged, number);
+    }
+
+    // The lease call
+
+    boolean callDue(long nowMs) {
+        return !mCallUnderWay && nowMs >= mNextCallMs;
+    }
+
+    void callSent(long call, long nowMs) {
+        mCall = call;
+        mCallSentMs = nowMs;
+        mCallUnderWay = true;
+    }
+
+    boolean awaits(long call) {
+        return mCallUnderWay && mCall == call;
+    }
+
+    long callSentMs() {
+        return mCallSentMs;
+    }
+
+    void callOver(long nextMs) {
+        mCallUnderWay = false;
+        mNextCallMs = nextMs;
+    }
+
+    // Health
+
+    double speed() {
+        return mSpeed;
+    }
+
+    /** Learns from a run that took {@code tookMs} where {@code expectedMs} was expected. */
+    void sample(double expectedMs, double tookMs) {
+        double speed = expectedMs / Math.max(1.0, tookMs);
+        mSpeed += SPEED_WEIGHT * (Math.min(4.0, speed) - mSpeed);
+    }
+
+    void sound() {
+        mTroubles = 0;
+        mAvoidUntilMs = 0;
+    }
+
+    int troubled() {
+        return ++mTroubles;
+    }
+
+    void avoid(long untilMs) {
+        mAvoidUntilMs = untilMs;
+    }
+
+    boolean avoided() {
+        return mAvoidUntilMs > 0;
+    }
+
+    Set<TaskName> taskNames() {
+        return new HashSet<>(mRuns.keySet());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -0,0 +1,65 @@
+package org.boragegap.core.cell;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/** Everything that a controller knows in one term; a later term begins with nothing of it. */
+final class Term {
+    private final long mFence;
+    private final long mSinceMs;
+    private final Map<String, Target> mTargets = new LinkedHashMap<>();
+    private final Map<String, CellJob> mJobs = new HashMap<>();
+    private final TreeSet<CellJob> mWaiting =
+            new TreeSet<>(
+                    Comparator.comparingLong(CellJob::latestStartMs).thenComparing(CellJob::id));
+    private long mNowMs;
+    private List<CellAction> mActions;
+
+    Term(long fence, long nowMs) {
+        mFence = fence;
+        mSinceMs = nowMs;
+    }
+
+    /** Sets the clock and the list of actions for the event that is handled now. */
+    void at(long nowMs, List<CellAction> actions) {
+        mNowMs = nowMs;
+        mActions = actions;
+    }
+
+    long fence() {
+        return mFence;
+    }
+
+    long sinceMs() {
+        return mSinceMs;
+    }
+
+    long nowMs() {
+        return mNowMs;
+    }
+
+    void act(CellAction action) {
+        mActions.add(action);
+    }
+
+    void log(Decision decision) {
+        mActions.add(new CellAction.Log(decision));
+    }
+
+    Map<String, Target> targets() {
+        return mTargets;
+    }
+
+    Map<String, CellJob> jobs() {
+        return mJobs;
+    }
+
+    /** Jobs with tasks that may start, the one that has to start first in front. */
+    TreeSet<CellJob> waiting() {
+        return mWaiting;
+    }
+}
--- a/entry/src/main/java/org/boragegap/entry/Setting.java
+++ b/entry/src/main/java/org/boragegap/entry/Setting.java
@@ -10,6 +10,14 @@
             "vm", "peer_address", SettingType.ADDRESS, "", null, "where other entry VMs reach it"),
     CALLER_ADDRESS("vm", "caller_address", SettingType.ADDRESS, "", null, "HTTP for callers"),
     OPERATOR_ADDRESS("vm", "operator_address", SettingType.ADDRESS, "", null, "HTTP for operators"),
+    READY_ADDRESS(
+            "vm",
+            "ready_address",
+            SettingType.ADDRESS,
+            "",
+            "",
+            "HTTP for the balancer's readiness check"),
+    METRICS_ADDRESS("vm", "metrics_address", SettingType.ADDRESS, "", "", "HTTP for metrics"),
     FAILURE_DOMAINS(
             "deployment",
             "failure_domains",
@@ -20,6 +28,27 @@
     LOG_ADDRESS("platform", "log", SettingType.ADDRESS, "", null, "the platform's log"),
     VM_LIST_ADDRESS(
             "platform", "vm_list", SettingType.ADDRESS, "", null, "the platform's list of VMs"),
+    STORE_ADDRESS(
+            "platform",
+            "store",
+            SettingType.ADDRESS,
+            "",
+            "",
+            "the platform's store; if given, jobs run in a cell and log and vm_list are not used"),
+    GROUP_LEASE_MS(
+            "platform",
+            "group_lease_ms",
+            SettingType.of(100, 60_000),
+            "ms",
+            "1000",
+            "how long the store keeps a silent VM in the group"),
+    TARGET_LEASE_MS(
+            "platform",
+            "target_lease_ms",
+            SettingType.of(100, 60_000),
+            "ms",
+            "1000",
+            "longest lease that a target grants"),
     LOG_POLL_MS("platform", "log_poll_ms", SettingType.of(20, 10_000), "ms", "500", "log reads"),
     VM_LIST_POLL_MS(
             "platform", "vm_list_poll_ms", SettingType.of(100, 60_000), "ms", "1000", "list reads"),
@@ -109,6 +138,13 @@
             "POWER_OF_TWO",
             "choice among targets"),
     ORDER("policy", "order", SettingType.oneOf("FIFO", "FAIR"), "", "FAIR", "order of the queue"),
+    FAR_FACTOR(
+            "policy",
+            "far_factor",
+            SettingType.of(1, 100),
+            "",
+            "2",
+            "how many times longer a task runs away from its data"),
     START_GRACE_MS(
             "policy",
             "start_grace_ms",
--- /dev/null
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellMetrics.java
@@ -0,0 +1,80 @@
+package org.boragegap.entry.cell;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+import org.boragegap.core.cell.CellState;
+import org.boragegap.core.cell.Verdict;
+
+/** Metrics of an entry process on the users' platform. */
+final class CellMetrics {
+    private final PrometheusMeterRegistry mRegistry =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<Class<?>, Timer> mAnswers = new HashMap<>();
+    private final Counter mRefused = Counter.builder("boragegap.refused").register(mRegistry);
+    private final Counter mNotFound = Counter.builder("boragegap.not.found").register(mRegistry);
+    private final Counter mCallersLeft =
+            Counter.builder("boragegap.callers.left").register(mRegistry);
+    private volatile CellState mState = CellState.NONE;
+    private volatile int mWaiting;
+    private volatile long mConfigVersion;
+
+    CellMetrics() {
+        new JvmMemoryMetrics().bindTo(mRegistry);
+        for (Class<?> verdict : Verdict.class.getPermittedSubclasses()) {
+            mAnswers.put(
+                    verdict,
+                    Timer.builder("boragegap.answers")
+                            .tag("verdict", verdict.getSimpleName())
+                            .publishPercentileHistogram()
+                            .minimumExpectedValue(Duration.ofMillis(1))
+                            .maximumExpectedValue(Duration.ofSeconds(10))
+                            .register(mRegistry));
+        }
+        gauge("boragegap.control.fence", CellState::fence);
+        gauge("boragegap.control.targets", CellState::targets);
+        gauge("boragegap.control.targets.open", CellState::open);
+        gauge("boragegap.control.jobs", CellState::jobs);
+        gauge("boragegap.control.runs", CellState::runs);
+        Gauge.builder("boragegap.callers.waiting", this, m -> m.mWaiting).register(mRegistry);
+        Gauge.builder("boragegap.config.version", this, m -> m.mConfigVersion).register(mRegistry);
+    }
+
+    private void gauge(String name, ToDoubleFunction<CellState> value) {
+        Gauge.builder(name, this, metrics -> value.applyAsDouble(metrics.mState))
+                .register(mRegistry);
+    }
+
+    void answered(Verdict verdict, long waitedMs) {
+        mAnswers.get(verdict.getClass()).record(Duration.ofMillis(waitedMs));
+    }
+
+    void refused() {
+        mRefused.increment();
+    }
+
+    void notFound() {
+        mNotFound.increment();
+    }
+
+    void callerLeft() {
+        mCallersLeft.increment();
+    }
+
+    void publish(CellState state, int waiting, long configVersion) {
+        mState = state;
+        mWaiting = waiting;
+        mConfigVersion = configVersion;
+    }
+
+    String scrape() {
+        return mRegistry.scrape();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -0,0 +1,335 @@
+package org.boragegap.entry.cell;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.boragegap.core.cell.CellAction;
+import org.boragegap.core.cell.CellEvent;
+import org.boragegap.core.cell.CellMessage;
+import org.boragegap.core.cell.CellSettings;
+import org.boragegap.core.cell.EntryAction;
+import org.boragegap.core.cell.TargetInfo;
+import org.boragegap.entry.Setting;
+import org.boragegap.entry.Settings;
+import org.boragegap.http.HttpCaller;
+import org.boragegap.http.HttpEndpoint;
+import org.boragegap.http.HttpIn;
+import org.boragegap.platform.ConfigurationReader;
+import org.boragegap.platform.ListedTargets;
+import org.boragegap.platform.PlatformException;
+import org.boragegap.platform.StoreClient;
+import org.boragegap.platform.TargetOrders;
+import org.boragegap.platform.Topics;
+import org.boragegap.wire.PeerListener;
+import org.boragegap.wire.PeerMessage;
+import org.boragegap.wire.PeerTransport;
+
+/** One entry process on the users' platform: all its parts, started and stopped together. */
+public final class CellNode {
+    private static final Logger sLog = LogManager.getLogger(CellNode.class);
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final int SMALL_BODY_BYTES = 4_096;
+    private static final long PROBE_EVERY_MS = 500;
+
+    /**
+     * How long a read of the configuration may be held back by the store, in ms. A change must be
+     * in force within two seconds, also when the connection has gone silent during a read.
+     */
+    private static final long CONFIG_WAIT_MS = 500;
+
+    private static final long CONFIG_PAUSE_MS = 20;
+
+    /** Time between two reads of the list of targets, in ms: a leaving one must be left in 2 s. */
+    private static final long TARGETS_PAUSE_MS = 400;
+
+    /** How often a stopping process looks whether all callers are answered, in ms. */
+    private static final long DRAIN_LOOK_MS = 20;
+
+    private final Settings mSettings;
+    private final String mSelf;
+    private final HttpCaller mHttp;
+    private final StoreClient mStore;
+    private final TargetOrders mOrders;
+    private final PeerTransport mPeers;
+    private final CellMetrics mMetrics = new CellMetrics();
+    private final JobApi mJobs;
+    private final CellControl mControl;
+    private final ControlThread mThread;
+    private final GroupKeeper mGroup;
+    private final TopicFollower mConfig;
+    private final TopicFollower mTargets;
+    private final List<HttpEndpoint> mEndpoints = new ArrayList<>();
+    private final ScheduledExecutorService mTimer =
+            Executors.newSingleThreadScheduledExecutor(CellNode::timerThread);
+    private final CountDownLatch mDrained = new CountDownLatch(1);
+    private volatile boolean mDraining;
+
+    private CellNode(Settings settings, long incarnation) {
+        mSettings = settings;
+        mSelf = settings.text(Setting.PEER_ADDRESS);
+        mHttp = HttpCaller.create((int) settings.number(Setting.CONNECTIONS));
+        mStore = StoreClient.create(mHttp, settings.text(Setting.STORE_ADDRESS));
+        mOrders = TargetOrders.create(mHttp);
+        mPeers =
+                PeerTransport.create(
+                        settings.host(Setting.PEER_ADDRESS),
+                        settings.port(Setting.PEER_ADDRESS),
+                        new Peers());
+        CellSettings cell =
+                new CellSettings(
+                        settings.number(Setting.TARGET_LEASE_MS),
+                        settings.number(Setting.FAR_FACTOR));
+        long leaseMs = settings.number(Setting.GROUP_LEASE_MS);
+        mControl = new CellControl(mSelf, cell, leaseMs, new Output());
+        mThread = new ControlThread(mControl::tick);
+        mJobs = new JobApi(event -> mThread.post(() -> mControl.desk(event)), mMetrics);
+        mGroup =
+                new GroupKeeper(
+                        mStore,
+                        mTimer,
+                        mSelf,
+                        incarnation,
+                        leaseMs,
+                        joined -> mThread.post(() -> mControl.joined(joined)),
+                        peers -> mThread.post(() -> mControl.peers(peers)));
+        mConfig =
+                new TopicFollower(
+                        mStore,
+                        mTimer,
+                        Topics.OPERATORS,
+                        CONFIG_WAIT_MS,
+                        CONFIG_PAUSE_MS,
+                        this::configChanged);
+        mTargets =
+                new TopicFollower(
+                        mStore, mTimer, Topics.TARGETS, 0, TARGETS_PAUSE_MS, this::targetsChanged);
+    }
+
+    /**
+     * Makes a process.
+     *
+     * @param settings checked settings
+     * @param incarnation number of this run, larger for later runs at the same address
+     */
+    public static CellNode create(Settings settings, long incarnation) {
+        return new CellNode(settings, incarnation);
+    }
+
+    private static Thread timerThread(Runnable task) {
+        Thread thread = new Thread(task, "timer");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /** Starts all parts. */
+    public void start() throws IOException {
+        mHttp.start();
+        mPeers.start();
+        mThread.start();
+        mConfig.start();
+        mGroup.start();
+        mTimer.scheduleWithFixedDelay(
+                this::everySoOften, PROBE_EVERY_MS, PROBE_EVERY_MS, TimeUnit.MILLISECONDS);
+        int bodyBytes = (int) mSettings.number(Setting.BODY_BYTES);
+        listen("callers", Setting.CALLER_ADDRESS, bodyBytes, mJobs::handle);
+        listen("ready", Setting.READY_ADDRESS, SMALL_BODY_BYTES, this::ready);
+        listen("metrics", Setting.METRICS_ADDRESS, SMALL_BODY_BYTES, this::metrics);
+        sLog.info("entry VM {} takes callers", mSelf);
+    }
+
+    private void listen(String name, Setting address, int bodyBytes, HttpEndpoint.Handler handler)
+            throws IOException {
+        if (mSettings.text(address).isEmpty()) {
+            return;
+        }
+        HttpEndpoint endpoint =
+                HttpEndpoint.create(
+                        name, mSettings.host(address), mSettings.port(address), bodyBytes, handler);
+        endpoint.start();
+        mEndpoints.add(endpoint);
+    }
+
+    private void ready(HttpIn in) {
+        boolean ready = !mDraining && mJobs.configured();
+        in.reply(ready ? OK : UNAVAILABLE, "{}");
+    }
+
+    private void metrics(HttpIn in) {
+        in.reply(OK, "text/plain; version=0.0.4", Map.of(), mMetrics.scrape());
+    }
+
+    private void everySoOften() {
+        mPeers.probe(HttpCaller.nowMs());
+        mThread.post(
+                () ->
+                        mMetrics.publish(
+                                mControl.state(),
+                                mControl.waitingCallers(),
+                                mJobs.configVersion()));
+    }
+
+    private void configChanged(Map<String, byte[]> records) {
+        byte[] value = records.get(Topics.CONFIGURATION_KEY);
+        if (value == null) {
+            return;
+        }
+        try {
+            mJobs.configure(ConfigurationReader.decode(value));
+        } catch (PlatformException e) {
+            sLog.error("the configuration can't be read, the last one stays: {}", e.getMessage());
+        }
+    }
+
+    private void targetsChanged(Map<String, byte[]> records) {
+        List<TargetInfo> targets = new ArrayList<>();
+        records.forEach(
+                (id, value) -> {
+                    try {
+                        targets.add(ListedTargets.decode(id, value));
+                    } catch (PlatformException e) {
+                        sLog.warn("target {} is passed over: {}", id, e.getMessage());
+                    }
+                });
+        mThread.post(() -> mControl.control(new CellEvent.TargetsListed(targets)));
+    }
+
+    /** Begins a graceful shutdown; asking twice changes nothing. */
+    public void drain() {
+        if (mDraining) {
+            return;
+        }
+        mDraining = true;
+        sLog.info("draining");
+        mThread.post(mControl::resign);
+        mGroup.leave();
+        mTimer.scheduleWithFixedDelay(
+                this::lookDrained, DRAIN_LOOK_MS, DRAIN_LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void lookDrained() {
+        mThread.post(
+                () -> {
+                    if (mControl.waitingCallers() == 0) {
+                        mDrained.countDown();
+                    }
+                });
+    }
+
+    /** Waits until all callers are answered, or the time for it is over. */
+    public void awaitDrained() throws InterruptedException {
+        boolean all = mDrained.await(mSettings.number(Setting.DRAIN_MS), TimeUnit.MILLISECONDS);
+        sLog.info(all ? "drained: all callers are answered" : "drained: time is over");
+    }
+
+    /** Stops all parts at once. */
+    public void stop() {
+        mEndpoints.forEach(HttpEndpoint::stop);
+        mThread.stop();
+        mPeers.stop();
+        mHttp.stop();
+        mTimer.shutdownNow();
+    }
+
+    private final class Peers implements PeerListener {
+        @Override
+        public void onMessage(long link, PeerMessage message) {
+            if (message instanceof PeerMessage.Cell cell) {
+                mThread.post(() -> mControl.message(cell.from(), cell.message()));
+            }
+        }
+
+        @Override
+        public void onLost(String address, PeerMessage message, boolean sent) {
+            // Whatever matters is sent again: offers by the desk, the rest by heartbeats.
+            sLog.debug("a message to {} is lost", address);
+        }
+    }
+
+    private final class Output implements CellOutput {
+        @Override
+        public void send(String address, CellMessage message) {
+            mPeers.send(address, new PeerMessage.Cell(mSelf, message));
+        }
+
+        @Override
+        public void deliverLater(CellMessage message) {
+            mThread.post(() -> mControl.message(mSelf, message));
+        }
+
+        @Override
+        public void extend(CellAction.ExtendLease order) {
+            String id = order.target().id();
+            mOrders.extend(
+                    order,
+                    result -> mThread.post(() -> mControl.control(leaseEvent(id, order, result))));
+        }
+
+        private CellEvent leaseEvent(
+                String id, CellAction.ExtendLease order, TargetOrders.LeaseResult result) {
+            if (result instanceof TargetOrders.LeaseResult.Extended extended) {
+                return new CellEvent.LeaseExtended(id, order.call(), extended.report());
+            }
+            return new CellEvent.LeaseFailed(
+                    id, order.call(), ((TargetOrders.LeaseResult.NotExtended) result).cause());
+        }
+
+        @Override
+        public void start(CellAction.StartRun order) {
+            String id = order.target().id();
+            mOrders.start(
+                    order,
+                    result ->
+                            mThread.post(
+                                    () ->
+                                            mControl.control(
+                                                    new CellEvent.StartAnswered(
+                                                            id,
+                                                            order.task(),
+                                                            order.run(),
+                                                            result))));
+        }
+
+        @Override
+        public void stop(CellAction.StopRun order) {
+            String id = order.target().id();
+            mOrders.stop(
+                    order,
+                    taken ->
+                            mThread.post(
+                                    () ->
+                                            mControl.control(
+                                                    new CellEvent.StopAnswered(
+                                                            id,
+                                                            order.task(),
+                                                            order.run(),
+                                                            taken))));
+        }
+
+        @Override
+        public void reply(EntryAction.Reply reply) {
+            mJobs.reply(reply);
+        }
+
+        @Override
+        public void followTargets(boolean follow) {
+            if (follow) {
+                mTargets.start();
+            } else {
+                mTargets.stop();
+            }
+        }
+
+        @Override
+        public void joinAgain() {
+            mTimer.execute(mGroup::join);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragegap/entry/cell/DecisionLog.java
@@ -0,0 +1,33 @@
+package org.boragegap.entry.cell;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
+import org.boragegap.core.cell.Decision;
+
+/** Writes decisions as log lines with fields. */
+final class DecisionLog {
+    private static final Logger sLog = LogManager.getLogger("decision");
+
+    private DecisionLog() {}
+
+    static void write(Decision decision) {
+        if (!sLog.isInfoEnabled()) {
+            return;
+        }
+        StringMapMessage message = new StringMapMessage();
+        message.put("what", decision.what());
+        put(message, "job", decision.job());
+        put(message, "task", decision.task());
+        put(message, "target", decision.target());
+        message.put("inputs", decision.inputs());
+        message.put("outcome", decision.outcome());
+        sLog.info(message);
+    }
+
+    private static void put(StringMapMessage message, String field, String value) {
+        if (!value.isEmpty()) {
+            message.put(field, value);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragegap/entry/cell/GroupKeeper.java
@@ -0,0 +1,144 @@
+package org.boragegap.entry.cell;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.boragegap.http.HttpCaller;
+import org.boragegap.platform.GroupMember;
+import org.boragegap.platform.GroupShare;
+import org.boragegap.platform.StoreClient;
+import org.boragegap.platform.StoreResult;
+
+/** Keeps this VM in the group of entry VMs, and reads who else is in it. */
+final class GroupKeeper {
+    private static final Logger sLog = LogManager.getLogger(GroupKeeper.class);
+    private static final String GROUP = "boragegap";
+
+    /** Its partition 0 is the cell. */
+    private static final String CELL_TOPIC = "cells";
+
+    /**
+     * Further topics, so that each member holds some partition and can be found by it: at twelve
+     * partitions each, enough for sixty entry VMs.
+     */
+    private static final List<String> TOPICS =
+            List.of(CELL_TOPIC, "roster-1", "roster-2", "roster-3", "roster-4");
+
+    /** Joins within one lease: two may be lost. */
+    private static final int JOINS_PER_LEASE = 3;
+
+    /** How often the list of members is read, in ms. */
+    private static final long MEMBERS_EVERY_MS = 1_000;
+
+    private static final long ANSWER_WITHIN_MS = 600;
+
+    /** What a join brought. */
+    record Joined(long generation, boolean holdsCell, long sentMs) {}
+
+    private final StoreClient mStore;
+    private final ScheduledExecutorService mTimer;
+    private final String mAddress;
+    private final String mMember;
+    private final long mLeaseMs;
+    private final Consumer<Joined> mJoined;
+    private final Consumer<Set<String>> mPeers;
+    private volatile long mGeneration;
+    private volatile boolean mLeft;
+    private boolean mLost;
+
+    GroupKeeper(
+            StoreClient store,
+            ScheduledExecutorService timer,
+            String address,
+            long incarnation,
+            long leaseMs,
+            Consumer<Joined> joined,
+            Consumer<Set<String>> peers) {
+        mStore = store;
+        mTimer = timer;
+        mAddress = address;
+        // Another life of this VM is another member: what the earlier one held is dealt anew.
+        mMember = address + "/" + incarnation;
+        mLeaseMs = leaseMs;
+        mJoined = joined;
+        mPeers = peers;
+    }
+
+    void start() {
+        long everyMs = mLeaseMs / JOINS_PER_LEASE;
+        mTimer.scheduleAtFixedRate(this::join, 0, everyMs, TimeUnit.MILLISECONDS);
+        mTimer.scheduleWithFixedDelay(
+                this::readMembers, everyMs, MEMBERS_EVERY_MS, TimeUnit.MILLISECONDS);
+    }
+
+    void join() {
+        if (mLeft) {
+            return;
+        }
+        long sentMs = HttpCaller.nowMs();
+        mStore.join(
+                GROUP,
+                mMember,
+                TOPICS,
+                mLeaseMs,
+                mGeneration,
+                ANSWER_WITHIN_MS,
+                result -> mTimer.execute(() -> joined(sentMs, result)));
+    }
+
+    private void joined(long sentMs, StoreResult<GroupShare> result) {
+        if (mLeft) {
+            return;
+        }
+        if (!(result instanceof StoreResult.Good<GroupShare> good)) {
+            if (!mLost) {
+                sLog.warn("can't join the group: {}", result);
+            }
+            mLost = true;
+            return;
+        }
+        if (mLost) {
+            sLog.info("joined the group again");
+        }
+        mLost = false;
+        GroupShare share = good.value();
+        mGeneration = Math.max(mGeneration, share.generation());
+        boolean holdsCell = share.partitions().contains(new GroupShare.Partition(CELL_TOPIC, 0));
+        mJoined.accept(new Joined(share.generation(), holdsCell, sentMs));
+    }
+
+    void readMembers() {
+        mStore.members(
+                GROUP, ANSWER_WITHIN_MS, result -> mTimer.execute(() -> membersRead(result)));
+    }
+
+    private void membersRead(StoreResult<List<GroupMember>> result) {
+        if (!(result instanceof StoreResult.Good<List<GroupMember>> good)) {
+            return;
+        }
+        Set<String> peers = new HashSet<>();
+        for (GroupMember member : good.value()) {
+            int slash = member.member().indexOf('/');
+            if (slash > 0) {
+                peers.add(member.member().substring(0, slash));
+            }
+        }
+        peers.remove(mAddress);
+        mPeers.accept(peers);
+    }
+
+    /** Leaves the group, so that another VM gets the cell at once. */
+    void leave() {
+        mLeft = true;
+        mStore.leave(
+                GROUP,
+                mMember,
+                ANSWER_WITHIN_MS,
+                result -> sLog.info("left the group: {}", result));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragegap/entry/cell/JobApi.java
@@ -0,0 +1,171 @@
+package org.boragegap.entry.cell;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.regex.Pattern;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.boragegap.core.cell.Configuration;
+import org.boragegap.core.cell.Decision;
+import org.boragegap.core.cell.EntryAction;
+import org.boragegap.core.cell.EntryEvent;
+import org.boragegap.http.HttpIn;
+import org.boragegap.platform.JobProtocol;
+import org.boragegap.platform.PlatformException;
+
+/** HTTP for callers on the users' platform. */
+final class JobApi {
+    private static final Logger sLog = LogManager.getLogger(JobApi.class);
+    private static final Pattern ID = Pattern.compile("[0-9a-f]{16}");
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int NOT_ALLOWED = 405;
+    private static final int GONE = 410;
+
+    private final Consumer<EntryEvent> mDesk;
+    private final CellMetrics mMetrics;
+    private final Map<Long, HttpIn> mCallers = new ConcurrentHashMap<>();
+    private final AtomicLong mNextTicket = new AtomicLong(1);
+    private volatile Configuration mConfiguration;
+
+    JobApi(Consumer<EntryEvent> desk, CellMetrics metrics) {
+        mDesk = desk;
+        mMetrics = metrics;
+    }
+
+    /** Puts a configuration in force, unless a later one is. */
+    synchronized void configure(Configuration configuration) {
+        Configuration current = mConfiguration;
+        if (current != null && configuration.version() <= current.version()) {
+            return;
+        }
+        mConfiguration = configuration;
+        DecisionLog.write(
+                Decision.self(
+                        "configure",
+                        "version="
+                                + configuration.version()
+                                + " before="
+                                + (current == null ? 0 : current.version()),
+                        configuration.routes().size() + " routes in force"));
+    }
+
+    boolean configured() {
+        return mConfiguration != null;
+    }
+
+    /** Version in force; 0 for none. */
+    long configVersion() {
+        Configuration configuration = mConfiguration;
+        return configuration == null ? 0 : configuration.version();
+    }
+
+    void handle(HttpIn in) {
+        Configuration configuration = mConfiguration;
+        if (configuration == null) {
+            refuse(in, "", JobProtocol.unavailable("no configuration yet"));
+            return;
+        }
+        String host = in.header("Host").orElse("");
+        Optional<Configuration.Route> route = configuration.route(host, in.path());
+        if (route.isEmpty()) {
+            mMetrics.notFound();
+            in.reply(NOT_FOUND, JobProtocol.error("no such queue"));
+            return;
+        }
+        String rest = in.path().substring(route.get().prefix().length());
+        switch (in.method()) {
+            case "POST" -> submit(in, route.get(), configuration.version(), rest);
+            case "GET" -> show(in, rest);
+            case "DELETE" -> in.reply(GONE, JobProtocol.error("no such job"));
+            default -> in.reply(NOT_ALLOWED, JobProtocol.error("no such method"));
+        }
+    }
+
+    /** Jobs that need not be stored are asked for by nobody later; no others are taken yet. */
+    private static void show(HttpIn in, String rest) {
+        if (rest.isEmpty()) {
+            in.reply(OK, JobProtocol.waiting(0));
+        } else {
+            in.reply(GONE, JobProtocol.error("no such job"));
+        }
+    }
+
+    private void submit(HttpIn in, Configuration.Route route, long version, String id) {
+        if (!ID.matcher(id).matches()) {
+            in.reply(BAD_REQUEST, JobProtocol.error("a job's id has 16 hexadecimal digits"));
+            return;
+        }
+        JobProtocol.Decoded decoded;
+        try {
+            decoded = JobProtocol.decode(id, route, version, in.body());
+        } catch (PlatformException e) {
+            in.reply(BAD_REQUEST, JobProtocol.error(e.getMessage()));
+            return;
+        }
+        if (decoded instanceof JobProtocol.Decoded.Unserved unserved) {
+            refuse(in, id, JobProtocol.unavailable(unserved.reason()));
+            return;
+        }
+        long ticket = mNextTicket.getAndIncrement();
+        mCallers.put(ticket, in);
+        long budgetMs = budgetMs(in, route);
+        mDesk.accept(
+                new EntryEvent.Submitted(
+                        ticket, ((JobProtocol.Decoded.Job) decoded).request(), budgetMs));
+        in.whenClosed(() -> left(ticket));
+    }
+
+    private static long budgetMs(HttpIn in, Configuration.Route route) {
+        try {
+            return in.header(JobProtocol.BUDGET_HEADER)
+                    .map(Long::parseLong)
+                    .orElse(route.timeoutMs());
+        } catch (NumberFormatException e) {
+            sLog.debug("a time budget that is no number is passed over: {}", e.getMessage());
+            return route.timeoutMs();
+        }
+    }
+
+    private void left(long ticket) {
+        if (mCallers.remove(ticket) != null) {
+            mMetrics.callerLeft();
+            mDesk.accept(new EntryEvent.CallerLeft(ticket));
+        }
+    }
+
+    private void refuse(HttpIn in, String id, JobProtocol.Reply reply) {
+        DecisionLog.write(Decision.job("refuse", id, "config=" + configVersion(), reply.body()));
+        mMetrics.refused();
+        send(in, reply);
+    }
+
+    /** Answers a caller whose job has been decided. */
+    void reply(EntryAction.Reply reply) {
+        HttpIn in = mCallers.remove(reply.ticket());
+        if (in == null) {
+            return;
+        }
+        mMetrics.answered(reply.verdict(), reply.waitedMs());
+        JobProtocol.Reply answer = JobProtocol.reply(reply.verdict());
+        DecisionLog.write(
+                Decision.job(
+                        "answer",
+                        reply.job(),
+                        "waited_ms=" + reply.waitedMs(),
+                        answer.status() + " " + reply.verdict().getClass().getSimpleName()));
+        send(in, answer);
+    }
+
+    private static void send(HttpIn in, JobProtocol.Reply reply) {
+        Map<String, String> headers =
+                reply.retryAfterS()
+                        .map(seconds -> Map.of(JobProtocol.RETRY_HEADER, seconds.toString()))
+                        .orElse(Map.of());
+        in.reply(reply.status(), "application/json", headers, reply.body());
+    }
+}
--- a/http/src/main/java/org/boragegap/http/HttpCall.java
+++ b/http/src/main/java/org/boragegap/http/HttpCall.java
@@ -1,6 +1,7 @@
 package org.boragegap.http;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.function.Consumer;
 
 /**
@@ -9,7 +10,7 @@
  * @param address {@code host:port}
  * @param method HTTP method
  * @param path path and query
- * @param ifNoneMatch entity tag that is known already; empty for none
+ * @param headers further headers, by name
  * @param body request body, may be empty
  * @param sendByMs monotonic milliseconds after which it must not be sent any more
  * @param timeoutMs how long the response is waited for
@@ -19,7 +20,7 @@
         String address,
         String method,
         String path,
-        String ifNoneMatch,
+        Map<String, String> headers,
         byte[] body,
         long sendByMs,
         long timeoutMs,
@@ -28,24 +29,15 @@
     /** A GET without a time by which it has to be sent. */
     public static HttpCall get(
             String address, String path, long timeoutMs, Consumer<HttpResult> done) {
-        return getUnless(address, path, "", timeoutMs, done);
-    }
-
-    /** A GET that needs no answer with a body if the entity tag is still the known one. */
-    public static HttpCall getUnless(
-            String address,
-            String path,
-            String ifNoneMatch,
-            long timeoutMs,
-            Consumer<HttpResult> done) {
         return new HttpCall(
-                address, "GET", path, ifNoneMatch, new byte[0], Long.MAX_VALUE, timeoutMs, done);
+                address, "GET", path, Map.of(), new byte[0], Long.MAX_VALUE, timeoutMs, done);
     }
 
     /** A POST without a time by which it has to be sent. */
     public static HttpCall post(
             String address, String path, String body, long timeoutMs, Consumer<HttpResult> done) {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        return new HttpCall(address, "POST", path, "", bytes, Long.MAX_VALUE, timeoutMs, done);
+        return new HttpCall(
+                address, "POST", path, Map.of(), bytes, Long.MAX_VALUE, timeoutMs, done);
     }
 }
--- a/http/src/main/java/org/boragegap/http/HttpCaller.java
+++ b/http/src/main/java/org/boragegap/http/HttpCaller.java
@@ -173,9 +173,7 @@
                         .header("Host", call.address())
                         .header("Content-Type", "application/json")
                         .contentLength(call.body().length);
-        if (!call.ifNoneMatch().isEmpty()) {
-            request.header("If-None-Match", call.ifNoneMatch());
-        }
+        call.headers().forEach(request::header);
         MemoryManager<?> memory = mTransport.getMemoryManager();
         Buffer body = Buffers.wrap(memory, call.body());
         connection.write(HttpContent.builder(request.build()).content(body).last(true).build());
--- a/http/src/main/java/org/boragegap/http/HttpIn.java
+++ b/http/src/main/java/org/boragegap/http/HttpIn.java
@@ -5,6 +5,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.glassfish.grizzly.CloseListener;
+import org.glassfish.grizzly.Closeable;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.ICloseType;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
 
@@ -41,6 +46,33 @@
         return Optional.ofNullable(mRequest.getHeader(name));
     }
 
+    /** The body. */
+    public byte[] body() {
+        return mBody;
+    }
+
+    /**
+     * Calls back when the caller closes its connection before the reply. Reading is switched on for
+     * that: the server doesn't read from a connection that waits for a reply, and would not see the
+     * end.
+     */
+    @SuppressWarnings({"rawtypes", "unchecked", "deprecation"})
+    public void whenClosed(Runnable left) {
+        Connection<?> connection = mRequest.getContext().getConnection();
+        connection.addCloseListener(
+                (CloseListener<Closeable, ICloseType>)
+                        (closeable, type) -> {
+                            if (!mReplied.get()) {
+                                left.run();
+                            }
+                        });
+        try {
+            connection.enableIOEvent(IOEvent.READ);
+        } catch (IOException e) {
+            left.run();
+        }
+    }
+
     /** The body as UTF-8. */
     public String text() {
         return new String(mBody, StandardCharsets.UTF_8);
--- a/http/src/test/java/org/boragegap/http/HttpCallerTest.java
+++ b/http/src/test/java/org/boragegap/http/HttpCallerTest.java
@@ -158,7 +158,7 @@
                                 address,
                                 "POST",
                                 "/x",
-                                "",
+                                java.util.Map.of(),
                                 new byte[0],
                                 past,
                                 5_000,
--- a/wire/src/main/java/org/boragegap/wire/PeerCodec.java
+++ b/wire/src/main/java/org/boragegap/wire/PeerCodec.java
@@ -6,6 +6,8 @@
 import com.fasterxml.jackson.databind.jsontype.NamedType;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.io.IOException;
+import org.boragegap.core.cell.CellMessage;
+import org.boragegap.core.cell.Verdict;
 import org.boragegap.core.claim.ClaimMessage;
 import org.boragegap.core.job.Answer;
 import org.boragegap.core.placement.LoanMessage;
@@ -35,6 +37,8 @@
         nameTypes(mapper, ClaimMessage.class);
         nameTypes(mapper, Answer.class);
         nameTypes(mapper, LoanMessage.class);
+        nameTypes(mapper, CellMessage.class);
+        nameTypes(mapper, Verdict.class);
         return new PeerCodec(mapper);
     }
 
--- a/wire/src/main/java/org/boragegap/wire/PeerMessage.java
+++ b/wire/src/main/java/org/boragegap/wire/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.boragegap.core.bundle.Bundle;
+import org.boragegap.core.cell.CellMessage;
 import org.boragegap.core.claim.ClaimMessage;
 import org.boragegap.core.claim.Member;
 import org.boragegap.core.job.Answer;
@@ -28,6 +29,14 @@
      */
     record Loans(String from, LoanMessage message) implements PeerMessage {}
 
+    /**
+     * About a cell and its jobs.
+     *
+     * @param from peer address of the sender
+     * @param message what it says
+     */
+    record Cell(String from, CellMessage message) implements PeerMessage {}
+
     /**
      * Hands a submission over; the answer comes back on the same connection.
      *
