--- a/app/src/main/java/org/boragegap/app/ServeCommand.java
+++ b/app/src/main/java/org/boragegap/app/ServeCommand.java
@@ -1,11 +1,13 @@
 package org.boragegap.app;
 
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.core.config.Configurator;
 import org.boragegap.entry.EntryService;
 import org.boragegap.entry.Setting;
@@ -14,6 +16,8 @@
 
 /** Runs an entry VM's process until it has drained. */
 final class ServeCommand implements Command {
+    private static final Logger sLog = LogManager.getLogger(ServeCommand.class);
+
     @Override
     public String name() {
         return "serve";
@@ -51,7 +55,7 @@
         Configurator.reconfigure();
         Configurator.setRootLevel(Level.toLevel(settings.text(Setting.LOG_LEVEL)));
         if (!settings.text(Setting.STORE_ADDRESS).isEmpty()) {
-            return serveCell(settings, incarnation);
+            return serveCell(line.getOptionValue("c"), settings, incarnation);
         }
         EntryService service = EntryService.create(settings, incarnation);
         service.start();
@@ -61,7 +65,9 @@
         return ExitCode.OK;
     }
 
-    private static ExitCode serveCell(Settings settings, long incarnation) throws Exception {
+    private static ExitCode serveCell(String file, Settings settings, long incarnation)
+            throws Exception {
+        HangupSignal.handle(() -> reload(file));
         CellNode node = CellNode.create(settings, incarnation);
         node.start();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drainAndHalt(node), "drain"));
@@ -69,6 +75,18 @@
         return ExitCode.OK;
     }
 
+    /** Takes the log level from the changed file; all else is read at the next start. */
+    private static void reload(String file) {
+        Settings.Read read = Settings.read(Path.of(file));
+        if (read instanceof Settings.Read.Bad bad) {
+            sLog.error("reload: settings stay as they were: {}", bad.problems());
+            return;
+        }
+        String level = ((Settings.Read.Good) read).settings().text(Setting.LOG_LEVEL);
+        Configurator.setRootLevel(Level.toLevel(level));
+        sLog.info("reload: log level {}; other changes count from the next start", level);
+    }
+
     private static void drainAndHalt(CellNode node) {
         try {
             node.drain();
--- a/core/src/main/java/org/boragegap/core/cell/CellAction.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellAction.java
@@ -47,9 +47,10 @@
      *
      * @param entry its peer address
      * @param job the job
+     * @param number of the offer that is answered
      * @param verdict how it ended
      */
-    record Answer(String entry, String job, Verdict verdict) implements CellAction {}
+    record Answer(String entry, String job, long number, Verdict verdict) implements CellAction {}
 
     /** Another controller has taken over: this VM must find out who. */
     record Deposed() implements CellAction {}
--- a/core/src/main/java/org/boragegap/core/cell/CellEvent.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellEvent.java
@@ -28,9 +28,11 @@
      * @param entry peer address of that entry VM
      * @param request the job
      * @param ageMs how long ago the caller handed it in, in ms
-     * @param offers how often the entry VM has offered it to any controller, from 1
+     * @param controllers how many controllers the entry VM has offered it to, from 1
+     * @param number names the offer within that entry VM; its verdict repeats it
      */
-    record Offered(String entry, JobRequest request, long ageMs, int offers) implements CellEvent {}
+    record Offered(String entry, JobRequest request, long ageMs, int controllers, long number)
+            implements CellEvent {}
 
     /**
      * The caller doesn't wait any more.
--- a/core/src/main/java/org/boragegap/core/cell/CellJob.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellJob.java
@@ -1,36 +1,36 @@
 package org.boragegap.core.cell;
 
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 
 /** A job that the controller has taken on. */
 final class CellJob {
     /**
-     * Run numbers that each further offer skips. A controller that takes over doesn't know how
+     * Run numbers that each further controller skips. A controller that takes over doesn't know how
      * often its predecessor started a task; a target rejects a number that it has seen. Far more
      * than the attempts that a queue allows.
      */
-    private static final int RUNS_PER_OFFER = 16;
+    private static final int RUNS_PER_CONTROLLER = 16;
 
     private final JobRequest mRequest;
     private final long mArrivedMs;
     private final long mObjectiveMs;
     private final long mLongestMs;
     private final List<List<CellTask>> mSteps = new ArrayList<>();
-    private final Set<String> mEntries = new LinkedHashSet<>();
+    private final Map<String, Long> mEntries = new LinkedHashMap<>();
     private int mOpenTasks;
     private boolean mMayHaveStarted;
     private long mAbandonedMs = -1;
 
-    CellJob(JobRequest request, long arrivedMs, long objectiveMs, long longestMs, int offers) {
+    CellJob(JobRequest request, long arrivedMs, long objectiveMs, long longestMs, int controllers) {
         mRequest = request;
         mArrivedMs = arrivedMs;
         mObjectiveMs = objectiveMs;
         mLongestMs = longestMs;
-        mMayHaveStarted = offers > 1;
-        int firstRun = 1 + RUNS_PER_OFFER * (offers - 1);
+        mMayHaveStarted = controllers > 1;
+        int firstRun = 1 + RUNS_PER_CONTROLLER * (controllers - 1);
         for (int step = 0; step < request.steps().size(); step++) {
             addStep(step, firstRun);
         }
@@ -68,7 +68,8 @@
         return mArrivedMs + mObjectiveMs - mLongestMs;
     }
 
-    Set<String> entries() {
+    /** Entry VMs that wait for it, each with the number of its last offer. */
+    Map<String, Long> entries() {
         return mEntries;
     }
 
@@ -92,8 +93,8 @@
         mAbandonedMs = nowMs;
     }
 
-    void wanted(String entry) {
-        mEntries.add(entry);
+    void wanted(String entry, long offer) {
+        mEntries.put(entry, offer);
         mAbandonedMs = -1;
     }
 
--- a/core/src/main/java/org/boragegap/core/cell/CellMessage.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMessage.java
@@ -8,9 +8,11 @@
      *
      * @param request the job
      * @param ageMs how long ago the caller handed it in, in ms
-     * @param offers how often the sender has offered it, from 1
+     * @param controllers how many controllers it has been offered to, from 1
+     * @param number rises with each offer of the sender; the verdict repeats it
      */
-    record Offer(JobRequest request, long ageMs, int offers) implements CellMessage {}
+    record Offer(JobRequest request, long ageMs, int controllers, long number)
+            implements CellMessage {}
 
     /**
      * Entry VM to controller: the caller has left.
@@ -23,9 +25,10 @@
      * Controller to entry VM: how a job ended.
      *
      * @param job the job
+     * @param number of the offer that is answered
      * @param verdict how it ended
      */
-    record Decided(String job, Verdict verdict) implements CellMessage {}
+    record Decided(String job, long number, Verdict verdict) implements CellMessage {}
 
     /**
      * Controller to all: who controls the cell; sent as a heartbeat.
--- a/core/src/main/java/org/boragegap/core/cell/EntryDesk.java
+++ b/core/src/main/java/org/boragegap/core/cell/EntryDesk.java
@@ -38,6 +38,7 @@
     private long mFence;
     private long mHeardMs;
     private boolean mDraining;
+    private long mNextOffer = 1;
     private long mNowMs;
     private List<EntryAction> mActions;
 
@@ -46,7 +47,8 @@
     private static final class Waiting {
         private final JobRequest mRequest;
         private final List<Caller> mCallers = new ArrayList<>();
-        private int mOffers;
+        private int mControllers;
+        private long mOffer;
         private long mOfferedMs;
         private long mOfferedFence;
 
@@ -124,12 +126,15 @@
 
     private void offer(Waiting waiting) {
         if (waiting.mOfferedFence != mFence) {
-            waiting.mOffers++;
+            waiting.mControllers++;
             waiting.mOfferedFence = mFence;
         }
         waiting.mOfferedMs = mNowMs;
+        waiting.mOffer = mNextOffer++;
         long ageMs = mNowMs - waiting.arrivedMs();
-        CellMessage message = new CellMessage.Offer(waiting.mRequest, ageMs, waiting.mOffers);
+        CellMessage message =
+                new CellMessage.Offer(
+                        waiting.mRequest, ageMs, waiting.mControllers, waiting.mOffer);
         mActions.add(new EntryAction.Tell(mController, message));
     }
 
@@ -157,12 +162,13 @@
 
     private void withdraw(String id, String cause) {
         Waiting waiting = mWaiting.remove(id);
-        if (waiting.mOffers > 0) {
+        if (waiting.mControllers > 0) {
             mActions.add(new EntryAction.Tell(mController, new CellMessage.Withdraw(id)));
         }
         mActions.add(
                 new EntryAction.Log(
-                        Decision.job("withdraw", id, "offers=" + waiting.mOffers, cause)));
+                        Decision.job(
+                                "withdraw", id, "controllers=" + waiting.mControllers, cause)));
     }
 
     private void heard(EntryEvent.ControllerHeard heard) {
@@ -187,15 +193,28 @@
     }
 
     private void decided(EntryEvent.Decided event) {
-        Waiting waiting = mWaiting.remove(event.job());
-        if (waiting == null) {
+        Waiting waiting = mWaiting.get(event.job());
+        if (waiting == null || outdated(waiting, event)) {
             return;
         }
+        mWaiting.remove(event.job());
         for (Caller caller : waiting.mCallers) {
             reply(caller, event.job(), event.verdict());
         }
     }
 
+    /**
+     * Guards against a refusal that isn't true any more. A controller that was cut off refuses a
+     * job; the job was offered again meanwhile, and the next controller has started it. Told to the
+     * caller, the late refusal would deny work that runs. Only the answer to the last offer counts.
+     */
+    private static boolean outdated(Waiting waiting, EntryEvent.Decided event) {
+        boolean ended =
+                event.verdict() instanceof Verdict.Completed
+                        || event.verdict() instanceof Verdict.Failed;
+        return !ended && event.number() != waiting.mOffer;
+    }
+
     private void tick() {
         boolean known = controller(mNowMs).isPresent();
         for (Waiting waiting : new ArrayList<>(mWaiting.values())) {
@@ -212,7 +231,7 @@
     private void giveUp(Waiting waiting) {
         String id = waiting.mRequest.id();
         for (Caller caller : List.copyOf(waiting.mCallers)) {
-            if (waiting.mOffers == 0 && mNowMs - caller.arrivedMs() > HAND_OVER_MS) {
+            if (waiting.mControllers == 0 && mNowMs - caller.arrivedMs() > HAND_OVER_MS) {
                 waiting.mCallers.remove(caller);
                 decline(caller, id, "no controller is known");
             } else if (mNowMs >= caller.giveUpMs()) {
--- a/core/src/main/java/org/boragegap/core/cell/EntryEvent.java
+++ b/core/src/main/java/org/boragegap/core/cell/EntryEvent.java
@@ -31,9 +31,10 @@
      * A controller has decided.
      *
      * @param job the job
+     * @param number of the offer that is answered
      * @param verdict how it ended
      */
-    record Decided(String job, Verdict verdict) implements EntryEvent {}
+    record Decided(String job, long number, Verdict verdict) implements EntryEvent {}
 
     /** The process will stop: everything that waits is to be answered soon. */
     record Draining() implements EntryEvent {}
--- a/core/src/main/java/org/boragegap/core/cell/JobBook.java
+++ b/core/src/main/java/org/boragegap/core/cell/JobBook.java
@@ -35,12 +35,12 @@
         String id = offer.request().id();
         Kept kept = mVerdicts.get(id);
         if (kept != null) {
-            answer(offer.entry(), id, kept.verdict());
+            answer(offer.entry(), id, offer.number(), kept.verdict());
             return;
         }
         CellJob known = mTerm.jobs().get(id);
         if (known != null) {
-            known.wanted(offer.entry());
+            known.wanted(offer.entry(), offer.number());
             return;
         }
         consider(offer);
@@ -51,18 +51,18 @@
         long longestMs = mAdmission.longestMs(request);
         long objectiveMs = Math.round(request.stretch() * longestMs) + request.aimMs();
         long arrivedMs = mTerm.nowMs() - offer.ageMs();
-        CellJob job = new CellJob(request, arrivedMs, objectiveMs, longestMs, offer.offers());
+        CellJob job = new CellJob(request, arrivedMs, objectiveMs, longestMs, offer.controllers());
         if (!mTerm.targets().isEmpty() && !mPlacement.possible(request)) {
-            refuse(offer.entry(), job, "no target can hold it", 0);
+            refuse(offer, job, "no target can hold it", 0);
             return;
         }
         long waitMs = mAdmission.waitMs();
         boolean hopeless = mAdmission.tooLate(job, waitMs) && !mPlacement.roomFor(job);
         if (hopeless && !job.mayHaveStarted()) {
-            refuse(offer.entry(), job, "would wait too long", waitMs);
+            refuse(offer, job, "would wait too long", waitMs);
             return;
         }
-        job.wanted(offer.entry());
+        job.wanted(offer.entry(), offer.number());
         mTerm.jobs().put(job.id(), job);
         mTerm.waiting().add(job);
         mTerm.log(
@@ -79,13 +79,13 @@
                                 + waitMs
                                 + " objective_ms="
                                 + objectiveMs
-                                + " offers="
-                                + offer.offers(),
+                                + " controllers="
+                                + offer.controllers(),
                         "accepted"));
         mRuns.adopt(job);
     }
 
-    private void refuse(String entry, CellJob job, String reason, long waitMs) {
+    private void refuse(CellEvent.Offered offer, CellJob job, String reason, long waitMs) {
         Verdict verdict =
                 job.mayHaveStarted()
                         ? new Verdict.InDoubt(reason)
@@ -101,11 +101,11 @@
                                 + " objective_ms="
                                 + job.objectiveMs(),
                         reason));
-        answer(entry, job.id(), verdict);
+        answer(offer.entry(), job.id(), offer.number(), verdict);
     }
 
-    private void answer(String entry, String job, Verdict verdict) {
-        mTerm.act(new CellAction.Answer(entry, job, verdict));
+    private void answer(String entry, String job, long number, Verdict verdict) {
+        mTerm.act(new CellAction.Answer(entry, job, number, verdict));
     }
 
     void withdrawn(CellEvent.Withdrawn event) {
@@ -125,9 +125,7 @@
         mTerm.jobs().remove(job.id());
         mTerm.waiting().remove(job);
         mVerdicts.put(job.id(), new Kept(verdict, mTerm.nowMs()));
-        for (String entry : job.entries()) {
-            answer(entry, job.id(), verdict);
-        }
+        job.entries().forEach((entry, offer) -> answer(entry, job.id(), offer, verdict));
         for (CellTask task : job.tasks()) {
             task.run().ifPresent(mRuns::stop);
         }
--- a/entry/src/main/java/org/boragegap/entry/cell/CellControl.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellControl.java
@@ -135,11 +135,17 @@
 
     void message(String from, CellMessage message) {
         if (message instanceof CellMessage.Offer offer) {
-            control(new CellEvent.Offered(from, offer.request(), offer.ageMs(), offer.offers()));
+            control(
+                    new CellEvent.Offered(
+                            from,
+                            offer.request(),
+                            offer.ageMs(),
+                            offer.controllers(),
+                            offer.number()));
         } else if (message instanceof CellMessage.Withdraw withdraw) {
             control(new CellEvent.Withdrawn(from, withdraw.job()));
         } else if (message instanceof CellMessage.Decided decided) {
-            desk(new EntryEvent.Decided(decided.job(), decided.verdict()));
+            desk(new EntryEvent.Decided(decided.job(), decided.number(), decided.verdict()));
         } else if (message instanceof CellMessage.Leading leading) {
             leading(from, leading);
         } else if (message instanceof CellMessage.Following following) {
@@ -189,7 +195,9 @@
         } else if (action instanceof CellAction.StopRun order) {
             mOutput.stop(order);
         } else if (action instanceof CellAction.Answer answer) {
-            tell(answer.entry(), new CellMessage.Decided(answer.job(), answer.verdict()));
+            tell(
+                    answer.entry(),
+                    new CellMessage.Decided(answer.job(), answer.number(), answer.verdict()));
         } else if (action instanceof CellAction.Deposed) {
             deposed(mDesk.fence());
         } else if (action instanceof CellAction.Log log) {
