A next controller knows on which targets the one before may have started tasks

Ruled out: an order of the earlier controller that came late (it was given before the term began). Change: a controller tells all entry VMs its targets and uses a new one 200 ms later; a next one waits for exactly those, or until their leases are over. Short jobs that are surely new start at once. Also: learned speeds and run times fed each other and drifted (speed 2.4 to 3.4, objectives of 3.3 s where 1.5 s was right); run times are learned over all targets now.

--- a/core/src/main/java/org/boragegap/core/cell/CellAction.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellAction.java
@@ -1,5 +1,7 @@
 package org.boragegap.core.cell;
 
+import java.util.List;
+
 /** What a controller wants done. */
 public sealed interface CellAction {
 
@@ -52,6 +54,13 @@
      */
     record Answer(String entry, String job, long number, Verdict verdict) implements CellAction {}
 
+    /**
+     * Tell all entry VMs on which targets this controller may start something.
+     *
+     * @param targets the targets
+     */
+    record TellTargets(List<TargetInfo> targets) implements CellAction {}
+
     /** Another controller has taken over: this VM must find out who. */
     record Deposed() implements CellAction {}
 
--- a/core/src/main/java/org/boragegap/core/cell/CellController.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -23,15 +23,18 @@
 
     private static final double SLOWEST_CLOCK = 0.98;
 
+    /** A task hardly ever takes this many times its expected time. */
+    private static final int LONGEST_OVERRUN = 3;
+
     private final CellSettings mSettings;
     private final RunTimes mTimes = new RunTimes();
-    private List<TargetInfo> mListed = List.of();
     private Term mTerm;
     private LeaseKeeper mLeases;
     private RunLedger mRuns;
     private JobBook mJobs;
     private Placement mPlacement;
     private boolean mSettled;
+    private boolean mPredecessorKnown;
 
     private CellController(CellSettings settings) {
         mSettings = settings;
@@ -65,11 +68,9 @@
     /** Handles an event; what is to be done is added to {@code actions}. */
     public void on(CellEvent event, ClockReading clock, List<CellAction> actions) {
         if (event instanceof CellEvent.TermBegan began) {
-            begin(began.fence(), clock, actions);
+            begin(began, clock, actions);
         } else if (event instanceof CellEvent.TermEnded) {
             end(actions);
-        } else if (event instanceof CellEvent.TargetsListed listed) {
-            mListed = listed.targets();
         }
         if (mTerm == null) {
             return;
@@ -79,7 +80,8 @@
         startWhatFits();
     }
 
-    private void begin(long fence, ClockReading clock, List<CellAction> actions) {
+    private void begin(CellEvent.TermBegan began, ClockReading clock, List<CellAction> actions) {
+        long fence = began.fence();
         mTerm = new Term(fence, clock.monotonicMs());
         mTerm.at(clock.monotonicMs(), actions);
         mRuns = new RunLedger(mTerm, mTimes);
@@ -88,8 +90,9 @@
         mJobs = new JobBook(mTerm, mPlacement, new Admission(mTerm, mTimes), mRuns);
         mRuns.connect(mJobs);
         mSettled = false;
+        mPredecessorKnown = began.before().isPresent();
         mTerm.log(Decision.self("control", "fence=" + fence, "this VM controls the cell"));
-        mLeases.listed(mListed);
+        began.before().ifPresent(mLeases::inherit);
     }
 
     private void end(List<CellAction> actions) {
@@ -101,7 +104,6 @@
                         Decision.self(
                                 "control", "fence=" + mTerm.fence(), "this VM controls nothing")));
         mTerm = null;
-        mListed = List.of();
     }
 
     private void handle(CellEvent event) {
@@ -127,8 +129,10 @@
     }
 
     /**
-     * Nothing starts before the term is settled. A job handed in again may still run on a target
-     * that has not reported yet; starting its tasks elsewhere would run them twice at a time.
+     * The term is settled when all that earlier controllers have started is known: each of their
+     * targets has reported, or their leases are over. Before, a job that was handed to an earlier
+     * controller may run on a target that has not reported yet; starting its tasks elsewhere would
+     * run them twice at a time.
      */
     private boolean settled() {
         if (mSettled) {
@@ -137,7 +141,7 @@
         long boundMs = (long) (mSettings.leaseMaxMs() / SLOWEST_CLOCK) + SETTLE_MARGIN_MS;
         long ageMs = mTerm.nowMs() - mTerm.sinceMs();
         boolean over = ageMs > boundMs && !mTerm.targets().isEmpty();
-        mSettled = over || mLeases.allReported();
+        mSettled = over || mPredecessorKnown && mLeases.allReported();
         if (mSettled) {
             mTerm.log(
                     Decision.self(
@@ -149,17 +153,27 @@
     }
 
     private void startWhatFits() {
-        if (mTerm.waiting().isEmpty() || !settled()) {
+        if (mTerm.waiting().isEmpty()) {
             return;
         }
+        boolean settled = settled();
         for (CellJob job : new ArrayList<>(mTerm.waiting())) {
-            boolean all = job.abandoned() || startTasks(job);
-            if (all && !job.abandoned()) {
+            boolean may = !job.abandoned() && (settled || surelyNew(job));
+            if (may && startTasks(job)) {
                 mTerm.waiting().remove(job);
             }
         }
     }
 
+    /**
+     * True for a job that no earlier controller can have at work: it was handed to none, and if its
+     * caller had handed it in through a VM that is gone, its tasks would be over by now, since a
+     * caller comes back only after a pause.
+     */
+    private boolean surelyNew(CellJob job) {
+        return job.controllers() == 1 && LONGEST_OVERRUN * job.longestMs() <= mSettings.resendMs();
+    }
+
     /** Starts the job's tasks that have room; true when none is left. */
     private boolean startTasks(CellJob job) {
         for (CellTask task : job.ready()) {
--- a/core/src/main/java/org/boragegap/core/cell/CellEvent.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellEvent.java
@@ -1,6 +1,7 @@
 package org.boragegap.core.cell;
 
 import java.util.List;
+import java.util.Optional;
 
 /** What a controller learns. */
 public sealed interface CellEvent {
@@ -9,8 +10,9 @@
      * This VM controls the cell from now on.
      *
      * @param fence fencing token of the term; higher than that of any earlier term
+     * @param before targets of the term before, if they are known for sure
      */
-    record TermBegan(long fence) implements CellEvent {}
+    record TermBegan(long fence, Optional<List<TargetInfo>> before) implements CellEvent {}
 
     /** This VM controls the cell no longer. */
     record TermEnded() implements CellEvent {}
--- a/core/src/main/java/org/boragegap/core/cell/CellMessage.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMessage.java
@@ -1,5 +1,7 @@
 package org.boragegap.core.cell;
 
+import java.util.List;
+
 /** What entry VMs and the controller of a cell tell each other. */
 public sealed interface CellMessage {
 
@@ -37,6 +39,15 @@
      */
     record Leading(long fence) implements CellMessage {}
 
+    /**
+     * Controller to all, on each change: the targets on which it may have started something. The
+     * next controller must hear from each of them before it can tell what runs.
+     *
+     * @param fence fencing token of the term
+     * @param targets the targets
+     */
+    record Targets(long fence, List<TargetInfo> targets) implements CellMessage {}
+
     /**
      * Answer to {@link Leading}.
      *
--- a/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
@@ -28,22 +28,39 @@
      */
     private static final long UNLISTED_GRACE_MS = 2_500;
 
+    /**
+     * A target is given no work for this time after it was first seen, in ms: the other entry VMs
+     * are told of it first, so that a next controller knows where to look for what runs.
+     */
+    private static final long ANNOUNCE_MS = 200;
+
     private final Term mTerm;
     private final RunLedger mRuns;
     private long mNextCall = 1;
+    private List<TargetInfo> mAnnounced = List.of();
 
     LeaseKeeper(Term term, RunLedger runs) {
         mTerm = term;
         mRuns = runs;
     }
 
+    /** Takes the targets that the controller before had, which all other entry VMs know of. */
+    void inherit(List<TargetInfo> infos) {
+        for (TargetInfo info : infos) {
+            Target target = new Target(info, mTerm.nowMs());
+            mTerm.targets().put(info.id(), target);
+            call(target);
+        }
+        mAnnounced = infos;
+    }
+
     void listed(List<TargetInfo> infos) {
         Set<String> ids = new HashSet<>();
         for (TargetInfo info : infos) {
             ids.add(info.id());
             Target known = mTerm.targets().get(info.id());
             if (known == null) {
-                Target target = new Target(info);
+                Target target = new Target(info, mTerm.nowMs() + ANNOUNCE_MS);
                 mTerm.targets().put(info.id(), target);
                 call(target);
             } else {
@@ -56,6 +73,16 @@
                 target.unlisted(mTerm.nowMs());
             }
         }
+        announce();
+    }
+
+    private void announce() {
+        List<TargetInfo> infos = new ArrayList<>();
+        mTerm.targets().values().forEach(target -> infos.add(target.info()));
+        if (!infos.equals(mAnnounced)) {
+            mAnnounced = infos;
+            mTerm.act(new CellAction.TellTargets(infos));
+        }
     }
 
     private void noteDraining(Target known, TargetInfo info) {
@@ -131,10 +158,10 @@
         }
     }
 
-    /** True when each listed target has reported in this term, but those that leave. */
+    /** True when each known target has reported in this term. */
     boolean allReported() {
         for (Target target : mTerm.targets().values()) {
-            if (!target.reported() && !target.info().draining()) {
+            if (!target.reported()) {
                 return false;
             }
         }
--- a/core/src/main/java/org/boragegap/core/cell/RunLedger.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunLedger.java
@@ -275,7 +275,7 @@
         double tookMs = mTerm.nowMs() - run.confirmedMs();
         double expectedMs = mTimes.expectedMs(queue, step);
         run.target().sample(expectedMs, tookMs);
-        mTimes.add(queue, step, tookMs * run.target().speed());
+        mTimes.add(queue, step, tookMs);
     }
 
     private void trouble(Target target) {
--- a/core/src/main/java/org/boragegap/core/cell/RunTimes.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunTimes.java
@@ -6,9 +6,9 @@
 /**
  * Learns how long tasks of a queue run, since callers' estimates are often far off.
  *
- * <p>Two things are learned per queue, as moving means: the run time on a target of speed 1, and
- * how it relates to the estimate. The expectation is their geometric mean: the estimate tells tasks
- * of one queue apart, the mean corrects what the estimate gets wrong.
+ * <p>Two things are learned per queue, as moving means over all targets: the run time, and how it
+ * relates to the estimate. The expectation is their geometric mean: the estimate tells tasks of one
+ * queue apart, the mean corrects what the estimate gets wrong.
  */
 final class RunTimes {
     /** Weight of a new sample: about the last fifty tasks decide. */
@@ -36,12 +36,12 @@
 
     private final Map<String, Seen> mQueues = new HashMap<>();
 
-    /** Takes a finished run; {@code tookMs} as it would have been on a target of speed 1. */
+    /** Takes a finished run. */
     void add(String queue, StepRequest step, double tookMs) {
         mQueues.computeIfAbsent(queue, name -> new Seen()).add(tookMs, step.estimateMs());
     }
 
-    /** Expected run time on a target of speed 1, in ms. */
+    /** Expected run time on a target of middling speed, in ms. */
     double expectedMs(String queue, StepRequest step) {
         Seen seen = mQueues.get(queue);
         boolean known = seen != null && seen.mCount >= ENOUGH;
--- a/core/src/main/java/org/boragegap/core/cell/Target.java
+++ b/core/src/main/java/org/boragegap/core/cell/Target.java
@@ -24,6 +24,7 @@
     record ForeignRun(TaskName task, int run) {}
 
     private TargetInfo mInfo;
+    private final long mOpenMs;
     private final Map<TaskName, Run> mRuns = new LinkedHashMap<>();
     private final Map<ForeignRun, Long> mForeign = new HashMap<>();
     private int mUsedCpu;
@@ -44,8 +45,14 @@
     private int mTroubles;
     private long mAvoidUntilMs;
 
-    Target(TargetInfo info) {
+    /**
+     * Makes an account.
+     *
+     * @param openMs before this time it is given no work
+     */
+    Target(TargetInfo info, long openMs) {
         mInfo = info;
+        mOpenMs = openMs;
     }
 
     TargetInfo info() {
@@ -133,6 +140,7 @@
                 && !mLost
                 && !mInfo.draining()
                 && mForeign.isEmpty()
+                && nowMs >= mOpenMs
                 && nowMs >= mAvoidUntilMs
                 && (mAvoidUntilMs == 0 || mRuns.isEmpty());
     }
--- a/entry/src/main/java/org/boragegap/entry/cell/CellControl.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellControl.java
@@ -17,6 +17,7 @@
 import org.boragegap.core.cell.EntryDesk;
 import org.boragegap.core.cell.EntryEvent;
 import org.boragegap.core.cell.Membership;
+import org.boragegap.core.cell.TargetInfo;
 import org.boragegap.http.HttpCaller;
 
 /**
@@ -38,6 +39,7 @@
     private final Map<String, Long> mFollowers = new HashMap<>();
     private Set<String> mPeers = Set.of();
     private long mBeatMs;
+    private Optional<CellMessage.Targets> mTargets = Optional.empty();
 
     CellControl(String self, CellSettings settings, long groupLeaseMs, CellOutput output) {
         mSelf = self;
@@ -61,7 +63,11 @@
     // Membership
 
     void peers(Set<String> peers) {
+        boolean changed = !peers.equals(mPeers);
         mPeers = peers;
+        if (changed && mController.fence().isPresent()) {
+            mTargets.ifPresent(this::sendToAll);
+        }
         mFollowers.keySet().retainAll(peers);
     }
 
@@ -86,12 +92,17 @@
             mOutput.followTargets(false);
         }
         if (held.isPresent()) {
-            control(new CellEvent.TermBegan(held.get()));
+            control(new CellEvent.TermBegan(held.get(), targetsBefore()));
             mOutput.followTargets(true);
             heartbeat();
         }
     }
 
+    /** Targets of the last controller heard of, if it has told them. */
+    private Optional<List<TargetInfo>> targetsBefore() {
+        return mTargets.filter(told -> told.fence() == mDesk.fence()).map(told -> told.targets());
+    }
+
     /** Gives the cell up, on a planned stop. */
     void resign() {
         mMembership.deposed();
@@ -118,10 +129,21 @@
     }
 
     private void beat(CellMessage.Leading leading) {
+        sendToAll(leading);
+        desk(new EntryEvent.ControllerHeard(mSelf, leading.fence()));
+    }
+
+    private void sendToAll(CellMessage message) {
         for (String peer : mPeers) {
-            mOutput.send(peer, leading);
+            mOutput.send(peer, message);
         }
-        desk(new EntryEvent.ControllerHeard(mSelf, leading.fence()));
+    }
+
+    private void tellTargets(List<TargetInfo> targets) {
+        long fence = mController.fence().orElseThrow();
+        CellMessage.Targets message = new CellMessage.Targets(fence, targets);
+        mTargets = Optional.of(message);
+        sendToAll(message);
     }
 
     private boolean followed(long nowMs) {
@@ -148,6 +170,10 @@
             desk(new EntryEvent.Decided(decided.job(), decided.number(), decided.verdict()));
         } else if (message instanceof CellMessage.Leading leading) {
             leading(from, leading);
+        } else if (message instanceof CellMessage.Targets targets) {
+            if (mTargets.filter(known -> known.fence() > targets.fence()).isEmpty()) {
+                mTargets = Optional.of(targets);
+            }
         } else if (message instanceof CellMessage.Following following) {
             following(from, following);
         }
@@ -198,6 +224,8 @@
             tell(
                     answer.entry(),
                     new CellMessage.Decided(answer.job(), answer.number(), answer.verdict()));
+        } else if (action instanceof CellAction.TellTargets told) {
+            tellTargets(told.targets());
         } else if (action instanceof CellAction.Deposed) {
             deposed(mDesk.fence());
         } else if (action instanceof CellAction.Log log) {
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -86,6 +86,7 @@
         CellSettings cell =
                 new CellSettings(
                         settings.number(Setting.TARGET_LEASE_MS),
+                        settings.number(Setting.CALLER_RESEND_MS),
                         settings.number(Setting.FAR_FACTOR));
         long leaseMs = settings.number(Setting.GROUP_LEASE_MS);
         mControl = new CellControl(mSelf, cell, leaseMs, new Output());
