A new term is settled when every entry VM in the group has told its own last term

Ruled out: starting short new jobs earlier by a guess on run times (histories broke it). Change: leases end with the membership that gave them, so only VMs still in the group can have tasks at work; they are asked with the heartbeat, and the term is settled when all have answered.

--- a/core/src/main/java/org/boragegap/core/cell/CellController.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -23,9 +23,6 @@
 
     private static final double SLOWEST_CLOCK = 0.98;
 
-    /** A task hardly ever takes this many times its expected time. */
-    private static final int LONGEST_OVERRUN = 3;
-
     private final CellSettings mSettings;
     private final RunTimes mTimes = new RunTimes();
     private Term mTerm;
@@ -35,8 +32,8 @@
     private Placement mPlacement;
     private boolean mSettled;
     private long mActsUntilMs = Long.MAX_VALUE;
-    private boolean mPredecessorKnown;
-    private boolean mPredecessorLapsed;
+    private boolean mPredecessorsKnown;
+    private boolean mPredecessorsOver;
 
     private CellController(CellSettings settings) {
         mSettings = settings;
@@ -103,8 +100,8 @@
         mJobs = new JobBook(mTerm, mPlacement, new Admission(mTerm, mTimes), mRuns);
         mRuns.connect(mJobs);
         mSettled = false;
-        mPredecessorKnown = began.before().isPresent();
-        mPredecessorLapsed = false;
+        mPredecessorsKnown = false;
+        mPredecessorsOver = false;
         mTerm.log(Decision.self("control", "fence=" + fence, "this VM controls the cell"));
         began.before().ifPresent(mLeases::inherit);
     }
@@ -135,8 +132,9 @@
             mRuns.startAnswered(answered);
         } else if (event instanceof CellEvent.StopAnswered answered) {
             mRuns.stopAnswered(answered);
-        } else if (event instanceof CellEvent.PredecessorLapsed) {
-            mPredecessorLapsed = true;
+        } else if (event instanceof CellEvent.PredecessorsKnown known) {
+            mPredecessorsOver = known.over();
+            mPredecessorsKnown = true;
         } else if (event instanceof CellEvent.Ticked) {
             mLeases.tick();
             mRuns.tick();
@@ -145,10 +143,10 @@
     }
 
     /**
-     * The term is settled when all that earlier controllers have started is known: each of their
-     * targets has reported, or their leases are over. Before, a job that was handed to an earlier
-     * controller may run on a target that has not reported yet; starting its tasks elsewhere would
-     * run them twice at a time.
+     * The term is settled when all that earlier controllers have started is known: their leases are
+     * over, or each target of the last one has reported. Before, a job that was handed to an
+     * earlier controller may run on a target that has not reported yet; starting its tasks
+     * elsewhere would run them twice at a time.
      */
     private boolean settled() {
         if (mSettled) {
@@ -157,7 +155,8 @@
         long boundMs = (long) (mSettings.leaseMaxMs() / SLOWEST_CLOCK) + SETTLE_MARGIN_MS;
         long ageMs = mTerm.nowMs() - mTerm.sinceMs();
         boolean over = ageMs > boundMs && !mTerm.targets().isEmpty();
-        mSettled = over || mPredecessorKnown && mLeases.allReported();
+        boolean told = mPredecessorsKnown && (mPredecessorsOver || mLeases.allReported());
+        mSettled = over || told;
         if (mSettled) {
             mTerm.log(
                     Decision.self(
@@ -173,25 +172,14 @@
             return;
         }
         boolean settled = settled();
-        boolean lapsed = mPredecessorLapsed && mTerm.nowMs() - mTerm.sinceMs() > SETTLE_MARGIN_MS;
         for (CellJob job : new ArrayList<>(mTerm.waiting())) {
-            boolean may = !job.abandoned() && (settled || lapsed && surelyNew(job));
+            boolean may = settled && !job.abandoned();
             if (may && startTasks(job)) {
                 mTerm.waiting().remove(job);
             }
         }
     }
 
-    /**
-     * True for a job that no earlier controller can have at work: it was handed to none, and if its
-     * caller had handed it in through a VM that is gone, its tasks would be over by now, since a
-     * caller comes back only after a pause. Short jobs need not wait for silent targets then: after
-     * a failure domain was cut off they are served a second earlier.
-     */
-    private boolean surelyNew(CellJob job) {
-        return job.controllers() == 1 && LONGEST_OVERRUN * job.longestMs() <= mSettings.resendMs();
-    }
-
     /** Starts the job's tasks that have room; true when none is left. */
     private boolean startTasks(CellJob job) {
         for (CellTask task : job.ready()) {
--- a/core/src/main/java/org/boragegap/core/cell/CellEvent.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellEvent.java
@@ -10,12 +10,17 @@
      * This VM controls the cell from now on.
      *
      * @param fence fencing token of the term; higher than that of any earlier term
-     * @param before targets of the term before, if they are known for sure
+     * @param before targets of the last term heard of, if they were told
      */
     record TermBegan(long fence, Optional<List<TargetInfo>> before) implements CellEvent {}
 
-    /** The controller before was dropped by the group for its silence: its leases are over. */
-    record PredecessorLapsed() implements CellEvent {}
+    /**
+     * All entry VMs in the group have told when they last controlled the cell.
+     *
+     * @param over true when the leases of all earlier controllers are over; false when the last one
+     *     gave the cell up just now, and the targets that it told are all that may be at work
+     */
+    record PredecessorsKnown(boolean over) implements CellEvent {}
 
     /** This VM controls the cell no longer. */
     record TermEnded() implements CellEvent {}
--- a/core/src/main/java/org/boragegap/core/cell/CellJob.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellJob.java
@@ -21,7 +21,6 @@
     private final List<List<CellTask>> mSteps = new ArrayList<>();
     private final Map<String, Long> mEntries = new LinkedHashMap<>();
     private int mOpenTasks;
-    private final int mControllers;
     private boolean mMayHaveStarted;
     private long mAbandonedMs = -1;
 
@@ -30,7 +29,6 @@
         mArrivedMs = arrivedMs;
         mObjectiveMs = objectiveMs;
         mLongestMs = longestMs;
-        mControllers = controllers;
         mMayHaveStarted = controllers > 1;
         int firstRun = 1 + RUNS_PER_CONTROLLER * (controllers - 1);
         for (int step = 0; step < request.steps().size(); step++) {
@@ -65,15 +63,6 @@
         return mObjectiveMs;
     }
 
-    /** How many controllers it was offered to. */
-    int controllers() {
-        return mControllers;
-    }
-
-    long longestMs() {
-        return mLongestMs;
-    }
-
     /** Latest time at which its longest task can start for the job to meet its objective. */
     long latestStartMs() {
         return mArrivedMs + mObjectiveMs - mLongestMs;
--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -21,6 +21,15 @@
     /** A follower counts this long after its last answer to a heartbeat, in ms. */
     private static final long FOLLOWS_MS = 600;
 
+    /**
+     * After this many ms a lease that an earlier controller gave is over: a second, on a clock that
+     * is 2% slow, and as much again for what may be under way.
+     */
+    private static final long LEASE_OVER_MS = 1_100;
+
+    /** Pause between two reads of the group's members while a term is not settled, in ms. */
+    private static final long READ_AGAIN_MS = 100;
+
     private final String mSelf;
     private final EntryDesk mDesk = EntryDesk.create();
     private final CellController mController;
@@ -32,7 +41,12 @@
     private final Deque<MemberEvent> mToSelf = new ArrayDeque<>();
     private Set<String> mPeers = Set.of();
     private Optional<CellMessage.Targets> mTargets = Optional.empty();
-    private String mPredecessor = "";
+    private final Map<String, CellMessage.Following> mAnswered = new HashMap<>();
+    private boolean mListedInTerm;
+    private boolean mSettled;
+    private long mMembersReadMs;
+    private long mOwnFence;
+    private long mOwnTermEndedMs;
     private long mBeatMs;
     private ClockReading mClock;
     private List<MemberAction> mActions;
@@ -122,9 +136,8 @@
         if (changed) {
             mTargets.ifPresent(this::sendToAll);
         }
-        if (!peers.contains(mPredecessor) && mMembership.steady(mClock)) {
-            control(new CellEvent.PredecessorLapsed());
-        }
+        mListedInTerm = true;
+        settle();
     }
 
     /** Begins or ends the controller's term as the membership says. */
@@ -135,18 +148,60 @@
             return;
         }
         if (term.isPresent()) {
+            mOwnFence = term.get();
+            mOwnTermEndedMs = mClock.monotonicMs();
             control(new CellEvent.TermEnded());
             mActions.add(new MemberAction.FollowTargets(false));
         }
         if (held.isPresent()) {
-            mPredecessor = mDesk.lastController();
+            mAnswered.clear();
+            mListedInTerm = false;
+            mSettled = false;
             control(new CellEvent.TermBegan(held.get(), targetsBefore()));
-            mActions.add(new MemberAction.ReadMembers());
+            readMembers();
             mActions.add(new MemberAction.FollowTargets(true));
             heartbeat();
         }
     }
 
+    private void readMembers() {
+        mMembersReadMs = mClock.monotonicMs();
+        mActions.add(new MemberAction.ReadMembers());
+    }
+
+    /**
+     * Finds out whether an earlier controller's tasks may still be at work. A controller that fell
+     * silent is dropped by the group, and its leases end with its membership; so only those in the
+     * group count, and they are asked. After an outage of the store that isn't so: a controller may
+     * have gone on without the store until just now.
+     */
+    private void settle() {
+        if (mSettled || !mListedInTerm || !mMembership.steady(mClock)) {
+            return;
+        }
+        if (!mAnswered.keySet().containsAll(mPeers)) {
+            return;
+        }
+        long toldFence = mTargets.map(CellMessage.Targets::fence).orElse(0L);
+        long ownAgoMs = mClock.monotonicMs() - mOwnTermEndedMs;
+        boolean over = over(mOwnFence, ownAgoMs);
+        boolean told = over || mOwnFence == toldFence;
+        for (String peer : mPeers) {
+            CellMessage.Following answer = mAnswered.get(peer);
+            boolean peerOver = over(answer.ownFence(), answer.endedAgoMs());
+            over &= peerOver;
+            told &= peerOver || answer.ownFence() == toldFence;
+        }
+        if (told) {
+            mSettled = true;
+            control(new CellEvent.PredecessorsKnown(over));
+        }
+    }
+
+    private static boolean over(long fence, long endedAgoMs) {
+        return fence == 0 || endedAgoMs > LEASE_OVER_MS;
+    }
+
     /** Targets of the last controller heard of, if it has told them. */
     private Optional<List<TargetInfo>> targetsBefore() {
         return mTargets.filter(told -> told.fence() == mDesk.fence()).map(told -> told.targets());
@@ -164,6 +219,9 @@
         followMembership();
         if (mController.fence().isPresent()) {
             control(new CellEvent.Ticked());
+            if (!mSettled && nowMs - mMembersReadMs >= READ_AGAIN_MS) {
+                readMembers();
+            }
             if (nowMs - mBeatMs >= HEARTBEAT_MS) {
                 heartbeat();
             }
@@ -250,10 +308,13 @@
             deposed(leading.fence());
         }
         desk(new EntryEvent.ControllerHeard(from, leading.fence()));
-        mActions.add(
-                new MemberAction.Send(
-                        from,
-                        new CellMessage.Following(mDesk.fence(), mMembership.cutOff(mClock))));
+        mActions.add(new MemberAction.Send(from, following()));
+    }
+
+    private CellMessage.Following following() {
+        long endedAgoMs = mClock.monotonicMs() - mOwnTermEndedMs;
+        boolean cutOff = mMembership.cutOff(mClock);
+        return new CellMessage.Following(mDesk.fence(), cutOff, mOwnFence, endedAgoMs);
     }
 
     private void following(String from, CellMessage.Following following) {
@@ -261,6 +322,8 @@
             deposed(following.fence());
         } else if (mController.fence().filter(f -> f == following.fence()).isPresent()) {
             noteFollower(from, following.cutOff());
+            mAnswered.put(from, following);
+            settle();
         }
     }
 
--- a/core/src/main/java/org/boragegap/core/cell/EntryDesk.java
+++ b/core/src/main/java/org/boragegap/core/cell/EntryDesk.java
@@ -74,11 +74,6 @@
         return silent ? Optional.empty() : Optional.of(mController);
     }
 
-    /** Address of the last controller heard of; empty if none was. */
-    public String lastController() {
-        return mController;
-    }
-
     /** Highest fencing token heard of. */
     public long fence() {
         return mFence;
--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -19,8 +19,7 @@
 final class CellHistory {
     static final int TASK_CPU = 1_000;
     static final long RESEND_MS = 1_300;
-    private static final CellSettings SETTINGS =
-            new CellSettings(FakeTarget.LEASE_MOST_MS, RESEND_MS, 2);
+    private static final CellSettings SETTINGS = new CellSettings(FakeTarget.LEASE_MOST_MS, 2);
     private static final int VMS = 4;
     private static final int TARGETS = 5;
     private static final long LENGTH_MS = 14_000;
--- a/entry/src/main/java/org/boragegap/entry/Setting.java
+++ b/entry/src/main/java/org/boragegap/entry/Setting.java
@@ -49,13 +49,6 @@
             "ms",
             "1000",
             "longest lease that a target grants"),
-    CALLER_RESEND_MS(
-            "platform",
-            "caller_resend_ms",
-            SettingType.of(0, 60_000),
-            "ms",
-            "1000",
-            "least pause before a caller hands a job in again"),
     LOG_POLL_MS("platform", "log_poll_ms", SettingType.of(20, 10_000), "ms", "500", "log reads"),
     VM_LIST_POLL_MS(
             "platform", "vm_list_poll_ms", SettingType.of(100, 60_000), "ms", "1000", "list reads"),
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -88,7 +88,6 @@
         CellSettings cell =
                 new CellSettings(
                         settings.number(Setting.TARGET_LEASE_MS),
-                        settings.number(Setting.CALLER_RESEND_MS),
                         settings.number(Setting.FAR_FACTOR));
         long leaseMs = settings.number(Setting.GROUP_LEASE_MS);
         mControl = new CellControl(CellMember.create(mSelf, cell, leaseMs), new Output());
