The cell stays where it is when VMs come back; silent connections are given up sooner

Change: a VM that has come, or come back, listens first and makes itself known; who has asked goes on asking. A term settles when most VMs were in touch with the store lately. Connects are given up after 0.4 s, peers without a pong after 1 s.

--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -27,6 +27,9 @@
      */
     private static final long LEASE_OVER_MS = 1_100;
 
+    /** Silence of the controller after which others ask for the cell, in ms; three heartbeats. */
+    private static final long ASK_AFTER_MS = 500;
+
     /** Pause between two reads of the group's members while a term is not settled, in ms. */
     private static final long READ_AGAIN_MS = 100;
 
@@ -42,6 +45,7 @@
     private Set<String> mPeers = Set.of();
     private Optional<CellMessage.Targets> mTargets = Optional.empty();
     private final Map<String, CellMessage.Following> mAnswered = new HashMap<>();
+    private boolean mAsks;
     private boolean mListedInTerm;
     private boolean mSettled;
     private long mMembersReadMs;
@@ -119,8 +123,12 @@
     // Membership
 
     private void joined(MemberEvent.Joined joined) {
-        boolean again = mMembership.joined(joined.generation(), joined.holdsCell(), joined.sent());
+        boolean again =
+                mMembership.joined(joined.generation(), joined.holdsCell(), joined.sent(), mClock);
         followMembership();
+        if (mMembership.justCame(mClock)) {
+            readMembers();
+        }
         if (again) {
             mActions.add(new MemberAction.JoinAgain());
         }
@@ -131,6 +139,7 @@
         mPeers = peers;
         mCutOffFollowers.keySet().retainAll(peers);
         if (mController.fence().isEmpty()) {
+            introduce();
             return;
         }
         if (changed) {
@@ -140,6 +149,16 @@
         settle();
     }
 
+    /**
+     * Tells the others of this VM when it hears no controller: one that doesn't know it yet answers
+     * with its heartbeat, before this VM asks for the cell.
+     */
+    private void introduce() {
+        if (mDesk.silentFor(mClock.monotonicMs(), ASK_AFTER_MS)) {
+            sendToAll(following());
+        }
+    }
+
     /** Begins or ends the controller's term as the membership says. */
     private void followMembership() {
         Optional<Long> held = mMembership.fence();
@@ -172,14 +191,12 @@
     /**
      * Finds out whether an earlier controller's tasks may still be at work. A controller that fell
      * silent is dropped by the group, and its leases end with its membership; so only those in the
-     * group count, and they are asked. After an outage of the store that isn't so: a controller may
-     * have gone on without the store until just now.
+     * group count, and they are asked. After an outage of the store that is not so: a controller
+     * may have gone on without the store until just now.
      */
     private void settle() {
-        if (mSettled || !mListedInTerm || !mMembership.steady(mClock)) {
-            return;
-        }
-        if (!mAnswered.keySet().containsAll(mPeers)) {
+        boolean answered = mAnswered.keySet().containsAll(mPeers);
+        if (mSettled || !mListedInTerm || !answered || !mostSteady()) {
             return;
         }
         long toldFence = mTargets.map(CellMessage.Targets::fence).orElse(0L);
@@ -198,6 +215,31 @@
         }
     }
 
+    /** True when most entry VMs in the group were in touch with the store all the time lately. */
+    private boolean mostSteady() {
+        int steady = mMembership.steady(mClock) ? 1 : 0;
+        for (String peer : mPeers) {
+            steady += mAnswered.get(peer).steady() ? 1 : 0;
+        }
+        return 2 * steady > mPeers.size() + 1;
+    }
+
+    /**
+     * Whether this VM asks the group for the cell. One that has just come, or come back, does not
+     * as long as it hears a controller: the group deals the cell anew when somebody asks for the
+     * first time, and each move costs callers some 200 ms. Who has asked once goes on asking, since
+     * a change back would make the group deal anew as well.
+     */
+    public boolean wantsCell(ClockReading clock) {
+        boolean came = mMembership.justCame(clock) || mMembership.cutOff(clock);
+        if (came) {
+            mAsks = false;
+        } else if (mDesk.silentFor(clock.monotonicMs(), ASK_AFTER_MS)) {
+            mAsks = true;
+        }
+        return mAsks || mController.fence().isPresent();
+    }
+
     private static boolean over(long fence, long endedAgoMs) {
         return fence == 0 || endedAgoMs > LEASE_OVER_MS;
     }
@@ -314,12 +356,16 @@
     private CellMessage.Following following() {
         long endedAgoMs = mClock.monotonicMs() - mOwnTermEndedMs;
         boolean cutOff = mMembership.cutOff(mClock);
-        return new CellMessage.Following(mDesk.fence(), cutOff, mOwnFence, endedAgoMs);
+        boolean steady = mMembership.steady(mClock);
+        return new CellMessage.Following(mDesk.fence(), cutOff, steady, mOwnFence, endedAgoMs);
     }
 
     private void following(String from, CellMessage.Following following) {
+        Optional<Long> own = mController.fence();
         if (isLater(following.fence())) {
             deposed(following.fence());
+        } else if (own.filter(fence -> fence > following.fence()).isPresent()) {
+            mActions.add(new MemberAction.Send(from, new CellMessage.Leading(own.get())));
         } else if (mController.fence().filter(f -> f == following.fence()).isPresent()) {
             noteFollower(from, following.cutOff());
             mAnswered.put(from, following);
--- a/core/src/main/java/org/boragegap/core/cell/CellMessage.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMessage.java
@@ -54,9 +54,10 @@
      *
      * @param fence highest fencing token that the sender has seen
      * @param cutOff true when the store hasn't answered the sender for a whole lease
+     * @param steady true when the store has answered the sender all the time lately
      * @param ownFence fencing token of the sender's own last term; 0 if it had none
      * @param endedAgoMs how long ago that term ended, in ms
      */
-    record Following(long fence, boolean cutOff, long ownFence, long endedAgoMs)
+    record Following(long fence, boolean cutOff, boolean steady, long ownFence, long endedAgoMs)
             implements CellMessage {}
 }
--- a/core/src/main/java/org/boragegap/core/cell/EntryDesk.java
+++ b/core/src/main/java/org/boragegap/core/cell/EntryDesk.java
@@ -70,8 +70,12 @@
 
     /** Address of the controller, if one was heard of lately. */
     public Optional<String> controller(long nowMs) {
-        boolean silent = mController.isEmpty() || nowMs - mHeardMs > SILENCE_MS;
-        return silent ? Optional.empty() : Optional.of(mController);
+        return silentFor(nowMs, SILENCE_MS) ? Optional.empty() : Optional.of(mController);
+    }
+
+    /** True when no controller was heard of for this long. */
+    boolean silentFor(long nowMs, long spanMs) {
+        return mController.isEmpty() || nowMs - mHeardMs > spanMs;
     }
 
     /** Highest fencing token heard of. */
--- a/core/src/main/java/org/boragegap/core/cell/Membership.java
+++ b/core/src/main/java/org/boragegap/core/cell/Membership.java
@@ -18,13 +18,17 @@
     /** Difference between two clocks that counts as a pause, in ms; scheduling delays are less. */
     private static final long PAUSE_MS = 200;
 
+    /** How long a VM listens for a controller before it asks for the cell, in ms: a few hops. */
+    private static final long LISTEN_MS = 300;
+
     private final long mLeaseMs;
     private long mGeneration;
     private long mTermsOfGeneration;
     private long mFence;
     private ClockReading mRenewed = new ClockReading(0, 0);
     private boolean mStoreAway;
-    private long mReturnedMs;
+    private long mCameMs = -1;
+    private long mUnsteadyMs;
     private boolean mResigned;
 
     private Membership(long leaseMs) {
@@ -52,9 +56,10 @@
      * @param generation of the group
      * @param holds true when the cell is dealt to this VM
      * @param sent when the join was sent
+     * @param now the clock
      * @return true when the join should be sent again at once, so that the store can go on dealing
      */
-    public boolean joined(long generation, boolean holds, ClockReading sent) {
+    public boolean joined(long generation, boolean holds, ClockReading sent, ClockReading now) {
         if (generation < mGeneration) {
             return false;
         }
@@ -63,12 +68,17 @@
             mTermsOfGeneration = 0;
         }
         mGeneration = generation;
-        if (cutOff(sent)) {
-            mReturnedMs = sent.monotonicMs();
+        if (mCameMs < 0 || cutOff(sent)) {
+            mCameMs = sent.monotonicMs();
+        }
+        if (sent.wallMs() - mRenewed.wallMs() > mLeaseMs || cutOff(sent)) {
+            mUnsteadyMs = sent.monotonicMs();
         }
         mRenewed = sent;
         mStoreAway = false;
-        if (!holds || mResigned) {
+        // An answer that comes after the lease says nothing of now.
+        boolean outdated = now.monotonicMs() - sent.monotonicMs() >= mLeaseMs;
+        if (!holds || mResigned || outdated) {
             mFence = 0;
         } else if (mFence == 0) {
             mFence = generation * TERMS_PER_GENERATION + mTermsOfGeneration++;
@@ -121,10 +131,19 @@
 
     /**
      * True when joins have been answered all the time for over a lease. After an outage of the
-     * store an earlier controller may have gone on until just now.
+     * store an earlier controller may have gone on until just now. The wall clock counts too: a VM
+     * that was paused through the outage has not seen it on its monotonic clock.
      */
     public boolean steady(ClockReading clock) {
-        return clock.monotonicMs() - mReturnedMs > 2 * mLeaseMs;
+        return clock.monotonicMs() - mUnsteadyMs > 2 * mLeaseMs;
+    }
+
+    /**
+     * True shortly after the first join, or the first after a time without the store: this VM has
+     * not had the time to hear of a controller.
+     */
+    public boolean justCame(ClockReading clock) {
+        return mCameMs < 0 || clock.monotonicMs() - mCameMs < LISTEN_MS;
     }
 
     /** True when no join was answered for a whole lease. */
--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -206,14 +206,15 @@
                     }
                     if (!mStoreDown && !vm.mStoreCut) {
                         ClockReading sent = clock(vm);
-                        after(hop(), () -> joinAtStore(vm, life, sent));
+                        boolean asks = vm.mMember.wantsCell(sent);
+                        after(hop(), () -> joinAtStore(vm, life, asks, sent));
                     }
                 });
     }
 
-    private void joinAtStore(Vm vm, int life, ClockReading sent) {
+    private void joinAtStore(Vm vm, int life, boolean asks, ClockReading sent) {
         FakeGroup.Answer answer =
-                mGroup.join(vm.mAddress + "/" + life, vm.mMember.generation(), mNowMs);
+                mGroup.join(vm.mAddress + "/" + life, asks, vm.mMember.generation(), mNowMs);
         Set<String> peers = new HashSet<>(answer.addresses());
         peers.remove(vm.mAddress);
         after(
--- a/core/src/test/java/org/boragegap/core/cell/FakeGroup.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeGroup.java
@@ -7,12 +7,14 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeSet;
 
 /** The store's group with one partition, as the platform's protocol has it. */
 final class FakeGroup {
     static final long LEASE_MS = 1_000;
 
     private final Map<String, Long> mMembers = new LinkedHashMap<>();
+    private final Set<String> mAsking = new TreeSet<>();
     private final SplittableRandom mRandom;
     private String mOwner = "";
     private String mNext = "";
@@ -26,15 +28,19 @@
     /** An answer to a join. */
     record Answer(long generation, boolean holds, Set<String> addresses) {}
 
-    Answer join(String member, long generation, long nowMs) {
+    Answer join(String member, boolean asks, long generation, long nowMs) {
         expire(nowMs);
-        if (mMembers.put(member, nowMs) == null) {
+        boolean changed = asks ? mAsking.add(member) : mAsking.remove(member);
+        if (!asks) {
+            free(member);
+        }
+        if (mMembers.put(member, nowMs) == null || changed) {
             mGeneration++;
             if (mRandom.nextInt(3) == 0) {
                 deal();
             }
         }
-        if (mOwner.isEmpty()) {
+        if (mOwner.isEmpty() && asks) {
             mOwner = mNext.isEmpty() ? member : mNext;
             mNext = "";
             mGeneration++;
@@ -74,7 +80,10 @@
         if (mMembers.isEmpty()) {
             return;
         }
-        List<String> members = new ArrayList<>(mMembers.keySet());
+        List<String> members = new ArrayList<>(mAsking);
+        if (members.isEmpty()) {
+            return;
+        }
         mNext = members.get(mRandom.nextInt(members.size()));
         mGeneration++;
         mNextSince = mGeneration;
@@ -87,6 +96,7 @@
         for (String member : List.copyOf(mMembers.keySet())) {
             if (nowMs - mMembers.get(member) > LEASE_MS) {
                 mMembers.remove(member);
+                mAsking.remove(member);
                 mGeneration++;
                 free(member);
             }
--- a/entry/src/main/java/org/boragegap/entry/cell/CellControl.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellControl.java
@@ -10,10 +10,11 @@
 import org.boragegap.core.cell.MemberAction;
 import org.boragegap.core.cell.MemberEvent;
 
-/** Feeds the member its events and carries its actions out. For the control thread alone. */
+/** Feeds the member its events and carries its actions out. For the control thread. */
 final class CellControl {
     private final CellMember mMember;
     private final CellOutput mOutput;
+    private volatile boolean mWantsCell = true;
 
     CellControl(CellMember member, CellOutput output) {
         mMember = member;
@@ -39,9 +40,15 @@
     void on(MemberEvent event) {
         List<MemberAction> actions = new ArrayList<>();
         mMember.on(event, ControlThread.clock(), actions);
+        mWantsCell = mMember.wantsCell(ControlThread.clock());
         actions.forEach(this::run);
     }
 
+    /** Whether this VM should ask the group for the cell; to be read on any thread. */
+    boolean wantsCell() {
+        return mWantsCell;
+    }
+
     private void run(MemberAction action) {
         if (action instanceof MemberAction.Send send) {
             mOutput.send(send.address(), send.message());
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -39,7 +39,7 @@
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final int SMALL_BODY_BYTES = 4_096;
-    private static final long PROBE_EVERY_MS = 500;
+    private static final long PROBE_EVERY_MS = 250;
 
     /**
      * How long a read of the configuration may be held back by the store, in ms. A change must be
@@ -100,6 +100,7 @@
                         mSelf,
                         incarnation,
                         leaseMs,
+                        mControl::wantsCell,
                         joined -> mThread.post(() -> mControl.on(joined)),
                         peers ->
                                 mThread.post(
--- a/entry/src/main/java/org/boragegap/entry/cell/GroupKeeper.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/GroupKeeper.java
@@ -5,7 +5,9 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.boragegap.core.ClockReading;
@@ -27,8 +29,11 @@
      * Further topics, so that each member holds some partition and can be found by it: at twelve
      * partitions each, enough for sixty entry VMs.
      */
-    private static final List<String> TOPICS =
-            List.of(CELL_TOPIC, "roster-1", "roster-2", "roster-3", "roster-4");
+    private static final List<String> ROSTERS =
+            List.of("roster-1", "roster-2", "roster-3", "roster-4", "roster-5");
+
+    private static final List<String> ALL_TOPICS =
+            Stream.concat(Stream.of(CELL_TOPIC), ROSTERS.stream()).toList();
 
     /** Joins within one lease: three may be lost. */
     private static final int JOINS_PER_LEASE = 4;
@@ -43,6 +48,7 @@
     private final String mAddress;
     private final String mMember;
     private final long mLeaseMs;
+    private final BooleanSupplier mWantsCell;
     private final Consumer<MemberEvent.Joined> mJoined;
     private final Consumer<Set<String>> mPeers;
     private volatile long mGeneration;
@@ -55,6 +61,7 @@
             String address,
             long incarnation,
             long leaseMs,
+            BooleanSupplier wantsCell,
             Consumer<MemberEvent.Joined> joined,
             Consumer<Set<String>> peers) {
         mStore = store;
@@ -63,6 +70,7 @@
         // Another life of this VM is another member: what the earlier one held is dealt anew.
         mMember = address + "/" + incarnation;
         mLeaseMs = leaseMs;
+        mWantsCell = wantsCell;
         mJoined = joined;
         mPeers = peers;
     }
@@ -82,7 +90,7 @@
         mStore.join(
                 GROUP,
                 mMember,
-                TOPICS,
+                mWantsCell.getAsBoolean() ? ALL_TOPICS : ROSTERS,
                 mLeaseMs,
                 mGeneration,
                 ANSWER_WITHIN_MS,
--- a/http/src/main/java/org/boragegap/http/HttpCaller.java
+++ b/http/src/main/java/org/boragegap/http/HttpCaller.java
@@ -40,7 +40,12 @@
     private static final Logger sLog = LogManager.getLogger(HttpCaller.class);
     private static final int SELECTORS = 2;
     private static final long SWEEP_EVERY_MS = 50;
-    private static final long CONNECT_WITHIN_MS = 1_000;
+
+    /**
+     * A connection not open by then, in ms, is given up: many round trips. One that was begun while
+     * the other side was cut off would otherwise hold its request for a second after the cut.
+     */
+    private static final long CONNECT_WITHIN_MS = 400;
 
     private final TCPNIOTransport mTransport;
     private final int mConnectionsPerAddress;
--- a/wire/src/main/java/org/boragegap/wire/PeerLink.java
+++ b/wire/src/main/java/org/boragegap/wire/PeerLink.java
@@ -18,9 +18,13 @@
  * it is reported lost, and the next message opens a new one.
  */
 final class PeerLink {
-    private static final long PONG_WITHIN_MS = 2_000;
+    /** Silence after a ping, in ms, after which the connection is closed; many round trips. */
+    private static final long PONG_WITHIN_MS = 1_000;
+
     private static final int MOST_WAITING = 10_000;
-    private static final long CONNECT_WITHIN_MS = 1_000;
+
+    /** A connection not open by then, in ms, is tried anew; see the HTTP client for why. */
+    private static final long CONNECT_WITHIN_MS = 400;
 
     private final String mAddress;
     private final TCPNIOTransport mTransport;
