--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/cell/EntryDeskTest.java
@@ -0,0 +1,149 @@
+package org.boragegap.core.cell;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.boragegap.core.ClockReading;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** What one entry VM does with the jobs of its callers. */
+final class EntryDeskTest {
+    private static final String JOB = "00000000000000aa";
+
+    private final EntryDesk mDesk = EntryDesk.create();
+    private long mNowMs = 1_000;
+
+    private List<EntryAction> on(EntryEvent event) {
+        List<EntryAction> actions = new ArrayList<>();
+        mDesk.on(event, new ClockReading(mNowMs, mNowMs), actions);
+        actions.removeIf(EntryAction.Log.class::isInstance);
+        return actions;
+    }
+
+    private static JobRequest request() {
+        StepRequest step = StepRequest.plain(1, 1_000, 100);
+        return new JobRequest(JOB, "queue", "service", 0, 3, 1.6, 60, "", List.of(step), 1);
+    }
+
+    private List<EntryAction> submit(long ticket) {
+        return on(new EntryEvent.Submitted(ticket, request(), 2_000));
+    }
+
+    private static CellMessage.Offer offer(List<EntryAction> actions) {
+        return (CellMessage.Offer) ((EntryAction.Tell) actions.get(0)).message();
+    }
+
+    private static Verdict verdict(List<EntryAction> actions) {
+        return ((EntryAction.Reply) actions.get(0)).verdict();
+    }
+
+    @Nested
+    final class Offering {
+        @Test
+        void aJobIsOfferedToTheControllerAndItsVerdictReachesTheCaller() {
+            on(new EntryEvent.ControllerHeard("vm1", 7));
+            CellMessage.Offer offer = offer(submit(1));
+            assertThat(offer.fence()).isEqualTo(7);
+            assertThat(offer.controllers()).isEqualTo(1);
+            Verdict done = new Verdict.Completed();
+            assertThat(verdict(on(new EntryEvent.Decided(JOB, offer.number(), done))))
+                    .isEqualTo(done);
+            assertThat(mDesk.waiting()).isEqualTo(0);
+        }
+
+        @Test
+        void twoCallersOfOneJobGetOneVerdict() {
+            on(new EntryEvent.ControllerHeard("vm1", 7));
+            CellMessage.Offer offer = offer(submit(1));
+            assertThat(submit(2)).isEmpty();
+            Verdict done = new Verdict.Completed();
+            assertThat(on(new EntryEvent.Decided(JOB, offer.number(), done))).hasSize(2);
+        }
+
+        /**
+         * The controller dies while a caller waits. The next one is heard of; the job goes to it at
+         * once, and says that it is the second, so that it isn't taken for surely not started.
+         */
+        @Test
+        void aNextControllerIsOfferedWhatWaits() {
+            on(new EntryEvent.ControllerHeard("vm1", 7));
+            submit(1);
+            CellMessage.Offer again = offer(on(new EntryEvent.ControllerHeard("vm2", 9)));
+            assertThat(again.controllers()).isEqualTo(2);
+            assertThat(again.fence()).isEqualTo(9);
+        }
+
+        @Test
+        void anEarlierControllerIsPassedOver() {
+            on(new EntryEvent.ControllerHeard("vm2", 9));
+            assertThat(on(new EntryEvent.ControllerHeard("vm1", 7))).isEmpty();
+            assertThat(mDesk.controller(mNowMs)).hasValue("vm2");
+        }
+    }
+
+    @Nested
+    final class Refusing {
+        /**
+         * A controller that was cut off refuses a job. The job was offered to the next one
+         * meanwhile, which has started it. Told to the caller, the late refusal would be untrue.
+         */
+        @Test
+        void aLateRefusalOfAnEarlierOfferIsDropped() {
+            on(new EntryEvent.ControllerHeard("vm1", 7));
+            CellMessage.Offer first = offer(submit(1));
+            on(new EntryEvent.ControllerHeard("vm2", 9));
+            Verdict refused = new Verdict.Declined("too late", 1_000);
+            assertThat(on(new EntryEvent.Decided(JOB, first.number(), refused))).isEmpty();
+            assertThat(mDesk.waiting()).isEqualTo(1);
+        }
+
+        @Test
+        void aResultOfAnEarlierOfferStillCounts() {
+            on(new EntryEvent.ControllerHeard("vm1", 7));
+            CellMessage.Offer first = offer(submit(1));
+            on(new EntryEvent.ControllerHeard("vm2", 9));
+            Verdict done = new Verdict.Completed();
+            assertThat(on(new EntryEvent.Decided(JOB, first.number(), done))).hasSize(1);
+        }
+
+        /**
+         * No controller is known: the caller is refused after a short while, not at its deadline.
+         */
+        @Test
+        void withoutAControllerACallerIsRefusedSoon() {
+            submit(1);
+            mNowMs += 300;
+            assertThat(verdict(on(new EntryEvent.Ticked()))).isInstanceOf(Verdict.Declined.class);
+        }
+
+        /** The job was offered and may run: the caller is not told that it has not. */
+        @Test
+        void whatWasOfferedOnceEndsInDoubt() {
+            on(new EntryEvent.ControllerHeard("vm1", 7));
+            submit(1);
+            mNowMs += 2_000;
+            assertThat(verdict(on(new EntryEvent.Ticked()))).isInstanceOf(Verdict.InDoubt.class);
+        }
+
+        @Test
+        void aStoppingVmRefusesNewJobsAndFinishesTheOthers() {
+            on(new EntryEvent.ControllerHeard("vm1", 7));
+            CellMessage.Offer offer = offer(submit(1));
+            on(new EntryEvent.Draining());
+            assertThat(verdict(submit(2))).isInstanceOf(Verdict.Declined.class);
+            Verdict done = new Verdict.Completed();
+            assertThat(verdict(on(new EntryEvent.Decided(JOB, offer.number(), done))))
+                    .isEqualTo(done);
+        }
+
+        @Test
+        void aCallerThatLeavesWithdrawsItsJob() {
+            on(new EntryEvent.ControllerHeard("vm1", 7));
+            submit(1);
+            EntryAction.Tell tell = (EntryAction.Tell) on(new EntryEvent.CallerLeft(1)).get(0);
+            assertThat(tell.message()).isEqualTo(new CellMessage.Withdraw(JOB));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/cell/MembershipTest.java
@@ -0,0 +1,98 @@
+package org.boragegap.core.cell;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.boragegap.core.ClockReading;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Whether a VM may take it that it controls the cell. */
+final class MembershipTest {
+    private static final long LEASE_MS = 1_000;
+
+    private final Membership mMembership = Membership.create(LEASE_MS);
+
+    private static ClockReading at(long ms) {
+        return new ClockReading(ms, ms);
+    }
+
+    private void join(long generation, boolean holds, long ms) {
+        mMembership.joined(generation, holds, at(ms), at(ms + 5));
+    }
+
+    @Nested
+    final class Terms {
+        @Test
+        void eachTermHasAHigherFencingToken() {
+            join(3, true, 0);
+            long first = mMembership.fence().get();
+            mMembership.deposed();
+            join(3, true, 250);
+            long second = mMembership.fence().get();
+            join(4, false, 500);
+            join(5, true, 750);
+            assertThat(second).isGreaterThan(first);
+            assertThat(mMembership.fence().get()).isGreaterThan(second);
+        }
+
+        @Test
+        void aVmThatStopsTakesTheCellNoMore() {
+            join(3, true, 0);
+            mMembership.resign();
+            join(4, true, 250);
+            assertThat(mMembership.fence()).isEmpty();
+        }
+
+        /** The answer to a join was held up by a cut: it says nothing of now. */
+        @Test
+        void anAnswerOlderThanTheLeaseBeginsNoTerm() {
+            mMembership.joined(3, true, at(0), at(LEASE_MS));
+            assertThat(mMembership.fence()).isEmpty();
+        }
+    }
+
+    @Nested
+    final class Lapses {
+        @Test
+        void aTermEndsWithTheMembership() {
+            join(3, true, 0);
+            mMembership.tick(at(LEASE_MS), false);
+            assertThat(mMembership.fence()).isPresent();
+            mMembership.tick(at(LEASE_MS + 1), false);
+            assertThat(mMembership.fence()).isEmpty();
+        }
+
+        /** The store is away for most: nobody else can be given the cell, work goes on. */
+        @Test
+        void aTermOutlastsAnOutageOfTheStoreForAll() {
+            join(3, true, 0);
+            mMembership.tick(at(5_000), true);
+            assertThat(mMembership.fence()).isPresent();
+        }
+
+        /**
+         * The process stands still for two seconds; its steady clock doesn't count them. Another VM
+         * has the cell by then, so nothing may be started before the group has answered.
+         */
+        @Test
+        void aPausedProcessIsSureOfNothing() {
+            join(3, true, 0);
+            ClockReading awake = new ClockReading(100, 2_100);
+            assertThat(mMembership.actsUntilMs(awake)).isAtMost(awake.monotonicMs());
+            mMembership.joined(3, true, awake, awake);
+            assertThat(mMembership.actsUntilMs(awake)).isGreaterThan(awake.monotonicMs());
+        }
+
+        /** Paused through an outage of the store, it must not vouch for there having been none. */
+        @Test
+        void aVmThatWasPausedIsNotSteady() {
+            for (long ms = 0; ms <= 3_000; ms += 250) {
+                join(3, false, ms);
+            }
+            assertThat(mMembership.steady(at(3_100))).isTrue();
+            ClockReading awake = new ClockReading(3_300, 6_300);
+            mMembership.joined(3, false, awake, awake);
+            assertThat(mMembership.steady(awake)).isFalse();
+        }
+    }
+}
