--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -31,32 +31,10 @@
 
     private record Scheduled(long atMs, long sequence, Runnable action) {}
 
-    private static final class Vm {
-        private final String mAddress;
-        private CellMember mMember;
-        private int mLife;
-        private boolean mAlive;
-        private long mFrozenUntilMs;
-        private long mStoodStillMs;
-        private boolean mStoreCut;
-        private boolean mFollowsTargets;
-        private final Set<String> mCutFrom = new HashSet<>();
-        private final List<Runnable> mHeldBack = new ArrayList<>();
-        private final Map<Long, JobRequest> mCallers = new HashMap<>();
-
-        private Vm(String address) {
-            mAddress = address;
-        }
-
-        private String member() {
-            return mAddress + "/" + mLife;
-        }
-    }
-
     private final SplittableRandom mRandom;
     private final CellOracle mOracle = new CellOracle();
     private final FakeGroup mGroup;
-    private final List<Vm> mVms = new ArrayList<>();
+    private final List<FakeEntryVm> mVms = new ArrayList<>();
     private final Map<String, FakeTarget> mTargets = new HashMap<>();
     private final Set<String> mUnlisted = new HashSet<>();
     private final PriorityQueue<Scheduled> mEvents =
@@ -86,7 +64,7 @@
             addTarget();
         }
         for (int i = 0; i < VMS; i++) {
-            Vm vm = new Vm("vm" + i);
+            FakeEntryVm vm = new FakeEntryVm("vm" + i);
             mVms.add(vm);
             start(vm);
         }
@@ -147,7 +125,7 @@
 
     // Entry VMs
 
-    private void start(Vm vm) {
+    private void start(FakeEntryVm vm) {
         vm.mLife++;
         vm.mAlive = true;
         vm.mFollowsTargets = false;
@@ -161,12 +139,12 @@
         list(vm, life);
     }
 
-    private ClockReading clock(Vm vm) {
+    private ClockReading clock(FakeEntryVm vm) {
         return new ClockReading(mNowMs - vm.mStoodStillMs, mNowMs);
     }
 
     /** Runs something on a VM in this life of it; a frozen one does it when it wakes. */
-    private void on(Vm vm, int life, Runnable action) {
+    private void on(FakeEntryVm vm, int life, Runnable action) {
         if (!vm.mAlive || vm.mLife != life) {
             return;
         }
@@ -177,7 +155,7 @@
         action.run();
     }
 
-    private void feed(Vm vm, int life, MemberEvent event) {
+    private void feed(FakeEntryVm vm, int life, MemberEvent event) {
         on(
                 vm,
                 life,
@@ -188,7 +166,7 @@
                 });
     }
 
-    private void tick(Vm vm, int life) {
+    private void tick(FakeEntryVm vm, int life) {
         if (!vm.mAlive || vm.mLife != life) {
             return;
         }
@@ -196,7 +174,7 @@
         after(TICK_MS, () -> on(vm, life, () -> tick(vm, life)));
     }
 
-    private void join(Vm vm, int life, boolean again) {
+    private void join(FakeEntryVm vm, int life, boolean again) {
         on(
                 vm,
                 life,
@@ -212,7 +190,7 @@
                 });
     }
 
-    private void joinAtStore(Vm vm, int life, boolean asks, ClockReading sent) {
+    private void joinAtStore(FakeEntryVm vm, int life, boolean asks, ClockReading sent) {
         FakeGroup.Answer answer =
                 mGroup.join(vm.mAddress + "/" + life, asks, vm.mMember.generation(), mNowMs);
         Set<String> peers = new HashSet<>(answer.addresses());
@@ -228,7 +206,7 @@
                 });
     }
 
-    private void readMembers(Vm vm, int life) {
+    private void readMembers(FakeEntryVm vm, int life) {
         if (mStoreDown || vm.mStoreCut) {
             return;
         }
@@ -241,7 +219,7 @@
                 });
     }
 
-    private void list(Vm vm, int life) {
+    private void list(FakeEntryVm vm, int life) {
         on(
                 vm,
                 life,
@@ -253,7 +231,7 @@
                 });
     }
 
-    private void feedList(Vm vm, int life) {
+    private void feedList(FakeEntryVm vm, int life) {
         List<TargetInfo> infos = new ArrayList<>();
         for (FakeTarget target : mTargets.values()) {
             if (target.alive() && !mUnlisted.contains(target.info().id())) {
@@ -263,7 +241,7 @@
         feed(vm, life, new MemberEvent.ForController(new CellEvent.TargetsListed(infos)));
     }
 
-    private void run(Vm vm, MemberAction action) {
+    private void run(FakeEntryVm vm, MemberAction action) {
         int life = vm.mLife;
         if (action instanceof MemberAction.Send send) {
             send(vm, send);
@@ -285,8 +263,9 @@
         }
     }
 
-    private void send(Vm from, MemberAction.Send send) {
-        Vm to = mVms.stream().filter(vm -> vm.mAddress.equals(send.address())).findFirst().get();
+    private void send(FakeEntryVm from, MemberAction.Send send) {
+        FakeEntryVm to =
+                mVms.stream().filter(vm -> vm.mAddress.equals(send.address())).findFirst().get();
         int life = to.mLife;
         boolean cut = from.mCutFrom.contains(to.mAddress) || to.mCutFrom.contains(from.mAddress);
         if (!cut) {
@@ -298,13 +277,13 @@
 
     // Orders
 
-    private void order(Vm vm, int life, CellAction order) {
-        TargetInfo info = target(order);
+    private void order(FakeEntryVm vm, int life, CellAction order) {
+        TargetInfo info = Orders.target(order);
         FakeTarget target = mTargets.get(info.id());
         boolean cut = vm.mCutFrom.contains(info.id());
         boolean lost = chance(mLostPercent);
         boolean late = chance(mLatePercent);
-        after(300 + waitMs(order), () -> feedControl(vm, life, unanswered(order)));
+        after(300 + Orders.waitMs(order), () -> feedControl(vm, life, Orders.unanswered(order)));
         if (target == null || cut) {
             return;
         }
@@ -325,36 +304,10 @@
                 });
     }
 
-    private void feedControl(Vm vm, int life, CellEvent event) {
+    private void feedControl(FakeEntryVm vm, int life, CellEvent event) {
         feed(vm, life, new MemberEvent.ForController(event));
     }
 
-    private static TargetInfo target(CellAction order) {
-        if (order instanceof CellAction.ExtendLease extend) {
-            return extend.target();
-        }
-        if (order instanceof CellAction.StartRun start) {
-            return start.target();
-        }
-        return ((CellAction.StopRun) order).target();
-    }
-
-    private static long waitMs(CellAction order) {
-        return order instanceof CellAction.ExtendLease extend ? extend.waitMs() : 0;
-    }
-
-    private static CellEvent unanswered(CellAction order) {
-        String id = target(order).id();
-        if (order instanceof CellAction.ExtendLease extend) {
-            return new CellEvent.LeaseFailed(id, extend.call(), StartResult.UNKNOWN);
-        }
-        if (order instanceof CellAction.StartRun start) {
-            return new CellEvent.StartAnswered(id, start.task(), start.run(), StartResult.UNKNOWN);
-        }
-        CellAction.StopRun stop = (CellAction.StopRun) order;
-        return new CellEvent.StopAnswered(id, stop.task(), stop.run(), false);
-    }
-
     private void execute(FakeTarget target, CellAction order, Consumer<CellEvent> reply) {
         target.at(mNowMs);
         if (order instanceof CellAction.ExtendLease extend) {
@@ -387,7 +340,7 @@
     }
 
     private void submit(JobRequest request) {
-        Vm vm = mVms.get(mRandom.nextInt(VMS));
+        FakeEntryVm vm = mVms.get(mRandom.nextInt(VMS));
         mOracle.handedIn(request.id());
         if (!vm.mAlive) {
             after(RESEND_MS, () -> submit(request));
@@ -399,7 +352,7 @@
         feed(vm, vm.mLife, new MemberEvent.ForDesk(event));
     }
 
-    private void replied(Vm vm, EntryAction.Reply reply) {
+    private void replied(FakeEntryVm vm, EntryAction.Reply reply) {
         JobRequest request = vm.mCallers.remove(reply.ticket());
         if (request == null) {
             return;
@@ -413,7 +366,7 @@
     // Failures
 
     private void fault() {
-        Vm vm = mVms.get(mRandom.nextInt(VMS));
+        FakeEntryVm vm = mVms.get(mRandom.nextInt(VMS));
         long forMs = 200 + mRandom.nextLong(3_500);
         int kind = mRandom.nextInt(14);
         mTrace.accept(mNowMs + " failure " + kind + " of " + vm.mAddress + " for " + forMs);
@@ -439,7 +392,7 @@
         after(forMs, end);
     }
 
-    private void kill(Vm vm, long downMs) {
+    private void kill(FakeEntryVm vm, long downMs) {
         if (!vm.mAlive) {
             return;
         }
@@ -450,14 +403,14 @@
     }
 
     /** Gives the cell up, answers what waits, leaves the group when it may, and starts again. */
-    private void stopAsPlanned(Vm vm) {
+    private void stopAsPlanned(FakeEntryVm vm) {
         if (vm.mAlive && mNowMs >= vm.mFrozenUntilMs) {
             feed(vm, vm.mLife, new MemberEvent.Resigned());
             lookDrained(vm, vm.mLife);
         }
     }
 
-    private void lookDrained(Vm vm, int life) {
+    private void lookDrained(FakeEntryVm vm, int life) {
         on(
                 vm,
                 life,
@@ -476,7 +429,7 @@
     }
 
     /** Stands still: its steady clock doesn't count the time, and what comes in waits. */
-    private void freeze(Vm vm, long forMs) {
+    private void freeze(FakeEntryVm vm, long forMs) {
         if (!vm.mAlive || mNowMs < vm.mFrozenUntilMs) {
             return;
         }
@@ -495,7 +448,7 @@
                 });
     }
 
-    private void cutOff(Vm vm) {
+    private void cutOff(FakeEntryVm vm) {
         boolean all = mRandom.nextBoolean();
         mVms.forEach(
                 other -> {
