Each term tells its list of targets; a new process is steady from its beginning

Two of the reasons: a VM that came while the list of targets stood was never told it (it was taken for known before the members were read, so the members did not "change"); and a list that was inherited unchanged was never told as that of the new term. Besides, a process that had just begun counted from its first join, 1.7 s after its start on a VM that lost power. Ruled out: lost frames (no reset of a connection in the log). Change: lists of targets have a version, followers say which one they have, and the controller sends what is newer; an inherited list is told again; steadiness counts from the beginning of the process, and a process that tells a controller to go on without the store says so of itself.

--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -56,10 +56,10 @@
     private ClockReading mClock;
     private List<MemberAction> mActions;
 
-    private CellMember(String self, CellSettings settings, long groupLeaseMs) {
+    private CellMember(String self, CellSettings settings, long groupLeaseMs, ClockReading began) {
         mSelf = self;
         mController = CellController.create(settings);
-        mMembership = Membership.create(groupLeaseMs);
+        mMembership = Membership.create(groupLeaseMs, began);
     }
 
     /**
@@ -68,9 +68,11 @@
      * @param self peer address of this VM
      * @param settings bounds of the platform
      * @param groupLeaseMs how long the group keeps a silent member, in ms
+     * @param began when this process began
      */
-    public static CellMember create(String self, CellSettings settings, long groupLeaseMs) {
-        return new CellMember(self, settings, groupLeaseMs);
+    public static CellMember create(
+            String self, CellSettings settings, long groupLeaseMs, ClockReading began) {
+        return new CellMember(self, settings, groupLeaseMs, began);
     }
 
     /** What the controller has in hand. */
@@ -145,16 +147,12 @@
     }
 
     private void peers(Set<String> peers) {
-        boolean changed = !peers.equals(mPeers);
         mPeers = peers;
         mCutOffFollowers.keySet().retainAll(peers);
         if (mController.fence().isEmpty()) {
             introduce();
             return;
         }
-        if (changed) {
-            mTargets.ifPresent(this::sendToAll);
-        }
         mListedInTerm = true;
         settle();
     }
@@ -299,11 +297,19 @@
 
     private void tellTargets(List<TargetInfo> targets) {
         long fence = mController.fence().orElseThrow();
-        CellMessage.Targets message = new CellMessage.Targets(fence, targets);
+        CellMessage.Targets message =
+                new CellMessage.Targets(fence, targetsVersion(fence) + 1, targets);
         mTargets = Optional.of(message);
         sendToAll(message);
     }
 
+    /** Version of the list of targets that this VM has of a term; 0 for none. */
+    private long targetsVersion(long fence) {
+        return mTargets.filter(told -> told.fence() == fence)
+                .map(CellMessage.Targets::version)
+                .orElse(0L);
+    }
+
     private boolean storeAway(long nowMs) {
         long followers =
                 mCutOffFollowers.values().stream()
@@ -350,8 +356,7 @@
     }
 
     private void targets(CellMessage.Targets targets) {
-        boolean known = mTargets.filter(told -> told.fence() > targets.fence()).isPresent();
-        if (!known) {
+        if (mTargets.isEmpty() || mTargets.get().olderThan(targets)) {
             mTargets = Optional.of(targets);
         }
     }
@@ -367,8 +372,13 @@
     private CellMessage.Following following() {
         long endedAgoMs = mClock.monotonicMs() - mOwnTermEndedMs;
         boolean cutOff = mMembership.storeSilent(mClock);
+        if (cutOff) {
+            mMembership.vouched(mClock);
+        }
         boolean steady = mMembership.steady(mClock);
-        return new CellMessage.Following(mDesk.fence(), cutOff, steady, mOwnFence, endedAgoMs);
+        long fence = mDesk.fence();
+        return new CellMessage.Following(
+                fence, cutOff, steady, mOwnFence, endedAgoMs, targetsVersion(fence));
     }
 
     private void following(String from, CellMessage.Following following) {
@@ -380,6 +390,7 @@
             mActions.add(new MemberAction.Send(from, new CellMessage.Leading(own.get())));
         } else if (mController.fence().filter(f -> f == following.fence()).isPresent()) {
             noteFollower(from, following.cutOff());
+            bringUpToDate(from, following);
             mAnswered.put(from, following);
             settle();
         }
@@ -397,6 +408,17 @@
         }
     }
 
+    /**
+     * Guards against a VM that has missed the list of targets: it came while the list stood, or the
+     * message was lost. Should it control the cell next, it could not tell where tasks may be at
+     * work, and would start none before all leases are over; callers would wait for a second.
+     */
+    private void bringUpToDate(String peer, CellMessage.Following following) {
+        mTargets.filter(told -> told.fence() == following.fence())
+                .filter(told -> told.version() > following.targetsVersion())
+                .ifPresent(told -> mActions.add(new MemberAction.Send(peer, told)));
+    }
+
     private void noteFollower(String from, boolean cutOff) {
         if (cutOff) {
             mCutOffFollowers.put(from, mClock.monotonicMs());
--- a/core/src/main/java/org/boragegap/core/cell/CellMessage.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMessage.java
@@ -45,9 +45,15 @@
      * next controller must hear from each of them before it can tell what runs.
      *
      * @param fence fencing token of the term
+     * @param version rises with each list of the term, from 1
      * @param targets the targets
      */
-    record Targets(long fence, List<TargetInfo> targets) implements CellMessage {}
+    record Targets(long fence, long version, List<TargetInfo> targets) implements CellMessage {
+        /** True when a list of another version or term says more than this one. */
+        boolean olderThan(Targets other) {
+            return fence < other.fence || fence == other.fence && version < other.version;
+        }
+    }
 
     /**
      * Answer to {@link Leading}.
@@ -57,7 +63,14 @@
      * @param steady true when the store has answered the sender all the time lately
      * @param ownFence fencing token of the sender's own last term; 0 if it had none
      * @param endedAgoMs how long ago that term ended, in ms
+     * @param targetsVersion version of the term's list of targets that the sender has; 0 for none
      */
-    record Following(long fence, boolean cutOff, boolean steady, long ownFence, long endedAgoMs)
+    record Following(
+            long fence,
+            boolean cutOff,
+            boolean steady,
+            long ownFence,
+            long endedAgoMs,
+            long targetsVersion)
             implements CellMessage {}
 }
--- a/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
@@ -44,14 +44,17 @@
         mRuns = runs;
     }
 
-    /** Takes the targets that the controller before had, which all other entry VMs know of. */
+    /**
+     * Takes the targets that the controller before had, which all other entry VMs know of. They are
+     * told again as those of this term: the next controller goes by the last term's list alone.
+     */
     void inherit(List<TargetInfo> infos) {
         for (TargetInfo info : infos) {
             Target target = new Target(info, mTerm.nowMs());
             mTerm.targets().put(info.id(), target);
             call(target);
         }
-        mAnnounced = infos;
+        announce();
     }
 
     void listed(List<TargetInfo> infos) {
--- a/core/src/main/java/org/boragegap/core/cell/Membership.java
+++ b/core/src/main/java/org/boragegap/core/cell/Membership.java
@@ -25,19 +25,26 @@
     private long mGeneration;
     private long mTermsOfGeneration;
     private long mFence;
-    private ClockReading mRenewed = new ClockReading(0, 0);
+    private ClockReading mRenewed;
     private boolean mStoreAway;
     private long mCameMs = -1;
     private long mUnsteadyMs;
     private boolean mResigned;
 
-    private Membership(long leaseMs) {
+    private Membership(long leaseMs, ClockReading began) {
         mLeaseMs = leaseMs;
+        mRenewed = began;
+        mUnsteadyMs = began.monotonicMs();
     }
 
-    /** Makes a membership that has not joined; the lease is what the group grants, in ms. */
-    public static Membership create(long leaseMs) {
-        return new Membership(leaseMs);
+    /**
+     * Makes a membership that has not joined.
+     *
+     * @param leaseMs what the group grants, in ms
+     * @param began when this process began
+     */
+    public static Membership create(long leaseMs, ClockReading began) {
+        return new Membership(leaseMs, began);
     }
 
     /** Generation to name when joining again; 0 at first. */
@@ -68,13 +75,14 @@
             mTermsOfGeneration = 0;
         }
         mGeneration = generation;
-        if (mCameMs < 0 || cutOff(sent)) {
-            mCameMs = sent.monotonicMs();
-        }
         // A controller may go on after half a lease without the store; see storeSilent.
-        if (sent.wallMs() - mRenewed.wallMs() > mLeaseMs / 2 || storeSilent(sent)) {
+        boolean missed = sent.wallMs() - mRenewed.wallMs() > mLeaseMs / 2 || storeSilent(sent);
+        if (mCameMs >= 0 && missed) {
             mUnsteadyMs = sent.monotonicMs();
         }
+        if (mCameMs < 0 || cutOff(sent)) {
+            mCameMs = sent.monotonicMs();
+        }
         mRenewed = sent;
         mStoreAway = false;
         // An answer that comes after the lease says nothing of now.
@@ -135,10 +143,18 @@
         return paused ? clock.monotonicMs() : mRenewed.monotonicMs() + mLeaseMs;
     }
 
+    /** This VM has told a controller to go on without the store. */
+    public void vouched(ClockReading clock) {
+        mUnsteadyMs = clock.monotonicMs();
+    }
+
     /**
-     * True when joins have been answered all the time for over a lease. After an outage of the
-     * store an earlier controller may have gone on until just now. The wall clock counts too: a VM
-     * that was paused through the outage has not seen it on its monotonic clock.
+     * True when this VM, for over a lease, was in touch with the store and has told no controller
+     * to go on without it. After an outage of the store an earlier controller may have gone on
+     * until just now. The wall clock counts too: a VM that was paused through the outage has not
+     * seen it on its monotonic clock. Before its first join a process can only have kept a
+     * controller in office by saying so; counted from there, all VMs that start at once would wait
+     * for two leases although nobody was left to act.
      */
     public boolean steady(ClockReading clock) {
         return clock.monotonicMs() - mUnsteadyMs > 2 * mLeaseMs;
--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -132,7 +132,12 @@
         vm.mStoodStillMs = 0;
         vm.mHeldBack.clear();
         vm.mCallers.clear();
-        vm.mMember = CellMember.create(vm.mAddress, SETTINGS, FakeGroup.LEASE_MS);
+        vm.mMember =
+                CellMember.create(
+                        vm.mAddress,
+                        SETTINGS,
+                        FakeGroup.LEASE_MS,
+                        new ClockReading(mNowMs, mNowMs));
         int life = vm.mLife;
         tick(vm, life);
         join(vm, life, true);
--- a/core/src/test/java/org/boragegap/core/cell/MembershipTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/MembershipTest.java
@@ -10,7 +10,7 @@
 final class MembershipTest {
     private static final long LEASE_MS = 1_000;
 
-    private final Membership mMembership = Membership.create(LEASE_MS);
+    private final Membership mMembership = Membership.create(LEASE_MS, at(0));
 
     private static ClockReading at(long ms) {
         return new ClockReading(ms, ms);
@@ -96,6 +96,27 @@
             assertThat(mMembership.steady(at(3_000 + LEASE_MS))).isFalse();
         }
 
+        /**
+         * All VMs lose power and start again at once. Callers are refused until the first term may
+         * start tasks; each process counts from its own beginning, not from its first join.
+         */
+        @Test
+        void aProcessIsSteadyTwoLeasesAfterItBegan() {
+            for (long ms = 1_700; ms <= 2_000; ms += 100) {
+                join(3, false, ms);
+            }
+            assertThat(mMembership.steady(at(2 * LEASE_MS))).isFalse();
+            assertThat(mMembership.steady(at(2 * LEASE_MS + 1))).isTrue();
+        }
+
+        /** Before its first join a process told a controller to go on; that one still may act. */
+        @Test
+        void aProcessThatKeptAControllerInOfficeIsNotSteady() {
+            mMembership.vouched(at(1_800));
+            join(3, false, 2_000);
+            assertThat(mMembership.steady(at(2 * LEASE_MS + 1))).isFalse();
+        }
+
         /** Paused through an outage of the store, it must not vouch for there having been none. */
         @Test
         void aVmThatWasPausedIsNotSteady() {
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -90,7 +90,10 @@
                         settings.number(Setting.TARGET_LEASE_MS),
                         settings.number(Setting.FAR_FACTOR));
         long leaseMs = settings.number(Setting.GROUP_LEASE_MS);
-        mControl = new CellControl(CellMember.create(mSelf, cell, leaseMs), new Output());
+        mControl =
+                new CellControl(
+                        CellMember.create(mSelf, cell, leaseMs, ControlThread.clock()),
+                        new Output());
         mThread = new ControlThread(() -> mControl.on(new MemberEvent.Ticked()));
         mJobs = new JobApi(event -> mThread.post(() -> mControl.on(event)), mMetrics);
         mGroup =
