The targets of the controller before are told apart from those of this term

Cause: whether the last controller's targets are known was judged by the fencing token of the newest list. Change: what is learnt of earlier controllers has a class of its own (Predecessors) with the token of the inherited list; what it lacks is logged on each change ("predecessors").

--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -22,12 +22,6 @@
     /** A follower counts this long after its last answer to a heartbeat, in ms. */
     private static final long FOLLOWS_MS = 600;
 
-    /**
-     * After this many ms a lease that an earlier controller gave is over: a second, on a clock that
-     * is 2% slow, and as much again for what may be under way.
-     */
-    private static final long LEASE_OVER_MS = 1_100;
-
     /** Pause between two reads of the group's members while a term is not settled, in ms. */
     private static final long READ_AGAIN_MS = 100;
 
@@ -42,13 +36,10 @@
     private final Deque<MemberEvent> mToSelf = new ArrayDeque<>();
     private Set<String> mPeers = Set.of();
     private Optional<CellMessage.Targets> mTargets = Optional.empty();
-    private final Map<String, CellMessage.Following> mAnswered = new HashMap<>();
+    private final Predecessors mBefore = new Predecessors();
+    private Predecessors.Knowledge mKnowledge = Predecessors.Knowledge.AWAITS_ANSWERS;
     private final Candidacy mCandidacy = new Candidacy();
-    private boolean mListedInTerm;
-    private boolean mSettled;
     private long mMembersReadMs;
-    private long mOwnFence;
-    private long mOwnTermEndedMs;
     private long mBeatMs;
     private ClockReading mClock;
     private List<MemberAction> mActions;
@@ -88,7 +79,7 @@
      * group are over, and would start those that are at work a second time.
      */
     public boolean mayLeave(ClockReading clock) {
-        return mOwnFence == 0 || clock.monotonicMs() - mOwnTermEndedMs > LEASE_OVER_MS;
+        return mBefore.ownOver(clock.monotonicMs());
     }
 
     /** How many callers wait here. */
@@ -149,7 +140,7 @@
         if (mController.fence().isEmpty()) {
             return;
         }
-        mListedInTerm = true;
+        mBefore.membersListed();
         settle();
     }
 
@@ -161,16 +152,17 @@
             return;
         }
         if (term.isPresent()) {
-            mOwnFence = term.get();
-            mOwnTermEndedMs = mClock.monotonicMs();
+            mBefore.ownTermEnded(term.get(), mClock.monotonicMs());
             control(new CellEvent.TermEnded());
             mActions.add(new MemberAction.FollowTargets(false));
         }
         if (held.isPresent()) {
-            mAnswered.clear();
-            mListedInTerm = false;
-            mSettled = false;
-            control(new CellEvent.TermBegan(held.get(), targetsBefore()));
+            Optional<CellMessage.Targets> inherited = targetsBefore();
+            mBefore.termBegan(inherited.map(CellMessage.Targets::fence).orElse(0L));
+            mKnowledge = Predecessors.Knowledge.AWAITS_ANSWERS;
+            control(
+                    new CellEvent.TermBegan(
+                            held.get(), inherited.map(CellMessage.Targets::targets)));
             readMembers();
             mActions.add(new MemberAction.FollowTargets(true));
             heartbeat();
@@ -182,42 +174,23 @@
         mActions.add(new MemberAction.ReadMembers());
     }
 
-    /**
-     * Finds out whether an earlier controller's tasks may still be at work. A controller that fell
-     * silent is dropped by the group, and its leases end with its membership; so only those in the
-     * group count, and they are asked. After an outage of the store that is not so: a controller
-     * may have gone on without the store until just now.
-     */
+    /** Finds out whether an earlier controller's tasks may still be at work. */
     private void settle() {
-        boolean answered = mAnswered.keySet().containsAll(mPeers);
-        if (mSettled || !mListedInTerm || !answered || !mostSteady()) {
+        if (mKnowledge.enough()) {
             return;
         }
-        long toldFence = mTargets.map(CellMessage.Targets::fence).orElse(0L);
-        long ownAgoMs = mClock.monotonicMs() - mOwnTermEndedMs;
-        boolean over = over(mOwnFence, ownAgoMs);
-        boolean told = over || mOwnFence == toldFence;
-        for (String peer : mPeers) {
-            CellMessage.Following answer = mAnswered.get(peer);
-            boolean peerOver = over(answer.ownFence(), answer.endedAgoMs());
-            over &= peerOver;
-            told &= peerOver || answer.ownFence() == toldFence;
+        Predecessors.Knowledge before = mKnowledge;
+        boolean steady = mMembership.steady(mClock);
+        mKnowledge = mBefore.knowledge(mPeers, steady, mClock.monotonicMs());
+        if (mKnowledge != before) {
+            log(Decision.self("predecessors", "vms=" + mPeers.size(), mKnowledge.name()));
         }
-        if (told) {
-            mSettled = true;
+        if (mKnowledge.enough()) {
+            boolean over = mKnowledge == Predecessors.Knowledge.OVER;
             control(new CellEvent.PredecessorsKnown(over));
         }
     }
 
-    /** True when most entry VMs in the group were in touch with the store all the time lately. */
-    private boolean mostSteady() {
-        int steady = mMembership.steady(mClock) ? 1 : 0;
-        for (String peer : mPeers) {
-            steady += mAnswered.get(peer).steady() ? 1 : 0;
-        }
-        return 2 * steady > mPeers.size() + 1;
-    }
-
     /** Whether this VM asks the group for the cell. */
     public boolean wantsCell() {
         return mCandidacy.asks() || mController.fence().isPresent();
@@ -275,13 +248,9 @@
                                         new MemberAction.Send(from, new CellMessage.Leading(own))));
     }
 
-    private static boolean over(long fence, long endedAgoMs) {
-        return fence == 0 || endedAgoMs > LEASE_OVER_MS;
-    }
-
     /** Targets of the last controller heard of, if it has told them. */
-    private Optional<List<TargetInfo>> targetsBefore() {
-        return mTargets.filter(told -> told.fence() == mDesk.fence()).map(told -> told.targets());
+    private Optional<CellMessage.Targets> targetsBefore() {
+        return mTargets.filter(told -> told.fence() == mDesk.fence());
     }
 
     private void resign() {
@@ -299,7 +268,7 @@
         candidacy();
         if (mController.fence().isPresent()) {
             control(new CellEvent.Ticked());
-            if (!mSettled && nowMs - mMembersReadMs >= READ_AGAIN_MS) {
+            if (!mKnowledge.enough() && nowMs - mMembersReadMs >= READ_AGAIN_MS) {
                 readMembers();
             }
             if (nowMs - mBeatMs >= HEARTBEAT_MS) {
@@ -407,7 +376,6 @@
     }
 
     private CellMessage.Following following() {
-        long endedAgoMs = mClock.monotonicMs() - mOwnTermEndedMs;
         boolean cutOff = mMembership.storeSilent(mClock);
         if (cutOff) {
             mMembership.vouched(mClock);
@@ -415,7 +383,12 @@
         boolean steady = mMembership.steady(mClock);
         long fence = mDesk.fence();
         return new CellMessage.Following(
-                fence, cutOff, steady, mOwnFence, endedAgoMs, targetsVersion(fence));
+                fence,
+                cutOff,
+                steady,
+                mBefore.ownFence(),
+                mBefore.ownEndedAgoMs(mClock.monotonicMs()),
+                targetsVersion(fence));
     }
 
     private void following(String from, CellMessage.Following following) {
@@ -428,7 +401,7 @@
         } else if (mController.fence().filter(f -> f == following.fence()).isPresent()) {
             noteFollower(from, following.cutOff());
             bringUpToDate(from, following);
-            mAnswered.put(from, following);
+            mBefore.answered(from, following);
             settle();
         }
     }
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/cell/Predecessors.java
@@ -0,0 +1,131 @@
+package org.boragegap.core.cell;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What a new controller learns of the controllers before it: whether their tasks may still be at
+ * work.
+ *
+ * <p>A controller that fell silent is dropped by the group, and its leases end with its membership;
+ * so only those in the group count, and they are asked. After an outage of the store that is not
+ * so: a controller may have gone on without the store until just now.
+ */
+final class Predecessors {
+    /**
+     * After this many ms a lease that an earlier controller gave is over: a second, on a clock that
+     * is 2% slow, and as much again for what may be under way.
+     */
+    private static final long LEASE_OVER_MS = 1_100;
+
+    /** What is known. */
+    enum Knowledge {
+        /** Not all entry VMs in the group have answered yet. */
+        AWAITS_ANSWERS,
+
+        /** Most entry VMs can't say that no controller has gone on without the store. */
+        STORE_WAS_AWAY,
+
+        /** A controller has just ended whose list of targets isn't known. */
+        TARGETS_UNKNOWN,
+
+        /** The last controller's list of targets is known: they tell what is at work. */
+        TARGETS_KNOWN,
+
+        /** All leases of earlier controllers are over. */
+        OVER;
+
+        /** True when nothing more has to be learnt from entry VMs. */
+        boolean enough() {
+            return this == TARGETS_KNOWN || this == OVER;
+        }
+    }
+
+    private final Map<String, CellMessage.Following> mAnswered = new HashMap<>();
+    private long mInheritedFence;
+    private boolean mMembersListed;
+
+    /** Fencing token of this VM's own last term, and when that ended. */
+    private long mOwnFence;
+
+    private long mOwnTermEndedMs;
+
+    /**
+     * A term begins.
+     *
+     * @param inheritedFence token of the term whose targets this one has taken over; 0 for none
+     */
+    void termBegan(long inheritedFence) {
+        mAnswered.clear();
+        mMembersListed = false;
+        mInheritedFence = inheritedFence;
+    }
+
+    /** This VM's own term has ended. */
+    void ownTermEnded(long fence, long nowMs) {
+        mOwnFence = fence;
+        mOwnTermEndedMs = nowMs;
+    }
+
+    long ownFence() {
+        return mOwnFence;
+    }
+
+    long ownEndedAgoMs(long nowMs) {
+        return nowMs - mOwnTermEndedMs;
+    }
+
+    /** True when no lease of this VM's own last term can still last. */
+    boolean ownOver(long nowMs) {
+        return over(mOwnFence, ownEndedAgoMs(nowMs));
+    }
+
+    /** The group's members were read in this term. */
+    void membersListed() {
+        mMembersListed = true;
+    }
+
+    void answered(String peer, CellMessage.Following answer) {
+        mAnswered.put(peer, answer);
+    }
+
+    /**
+     * What is known now.
+     *
+     * @param peers the other entry VMs in the group
+     * @param steady whether this VM was in touch with the store all the time lately
+     */
+    Knowledge knowledge(Set<String> peers, boolean steady, long nowMs) {
+        if (!mMembersListed || !mAnswered.keySet().containsAll(peers)) {
+            return Knowledge.AWAITS_ANSWERS;
+        }
+        if (!mostSteady(peers, steady)) {
+            return Knowledge.STORE_WAS_AWAY;
+        }
+        boolean over = ownOver(nowMs);
+        boolean known = over || mOwnFence == mInheritedFence;
+        for (String peer : peers) {
+            CellMessage.Following answer = mAnswered.get(peer);
+            boolean peerOver = over(answer.ownFence(), answer.endedAgoMs());
+            over &= peerOver;
+            known &= peerOver || answer.ownFence() == mInheritedFence;
+        }
+        if (over) {
+            return Knowledge.OVER;
+        }
+        return known ? Knowledge.TARGETS_KNOWN : Knowledge.TARGETS_UNKNOWN;
+    }
+
+    private boolean mostSteady(Set<String> peers, boolean self) {
+        int steady = self ? 1 : 0;
+        for (String peer : peers) {
+            steady += mAnswered.get(peer).steady() ? 1 : 0;
+        }
+        return 2 * steady > peers.size() + 1;
+    }
+
+    private static boolean over(long fence, long endedAgoMs) {
+        return fence == 0 || endedAgoMs > LEASE_OVER_MS;
+    }
+}
