--- /dev/null
+++ b/app/src/main/java/org/boragegap/app/EmbeddedCell.java
@@ -0,0 +1,155 @@
+package org.boragegap.app;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.boragegap.entry.Settings;
+import org.boragegap.entry.cell.CellNode;
+import org.boragegap.http.HttpCall;
+import org.boragegap.http.HttpCaller;
+import org.boragegap.http.HttpResult;
+import org.boragegap.standin.CellTargetStandin;
+import org.boragegap.standin.LoopbackPorts;
+import org.boragegap.standin.StoreStandin;
+
+/**
+ * Two entry VMs on the users' platform, with stand-ins for its store and targets, in one process.
+ */
+final class EmbeddedCell {
+    private static final String HOST = "127.0.0.1";
+    private static final int ENTRY_VMS = 2;
+    private static final int TARGETS = 2;
+    private static final int TASKS = 4;
+    private static final int CONNECTIONS = 4;
+    private static final int OK = 200;
+
+    /** Longest wait for one answer, in ms; a job here takes some ten ms. */
+    private static final long ANSWER_WITHIN_MS = 2_000;
+
+    /** How often the first job is handed in before giving up; the cell is up after a second. */
+    private static final int TRIES = 100;
+
+    /** Pause between two tries, in ms. */
+    private static final long TRY_EVERY_MS = 100;
+
+    private final ScheduledExecutorService mTimer = Executors.newScheduledThreadPool(2);
+    private final HttpCaller mHttp = HttpCaller.create(CONNECTIONS);
+    private final List<CellTargetStandin> mTargets = new ArrayList<>();
+    private final List<CellNode> mNodes = new ArrayList<>();
+    private final List<String> mCallers = new ArrayList<>();
+    private final StoreStandin mStore;
+    private final int mStorePort;
+    private int mNextJob = 1;
+
+    private EmbeddedCell() throws IOException {
+        mStorePort = LoopbackPorts.next();
+        mStore = StoreStandin.create(HOST, mStorePort, mTimer);
+    }
+
+    /** Makes a cell that isn't started yet. */
+    static EmbeddedCell create() throws IOException {
+        return new EmbeddedCell();
+    }
+
+    void start() throws Exception {
+        mStore.start();
+        configure();
+        for (int i = 0; i < TARGETS; i++) {
+            CellTargetStandin target =
+                    CellTargetStandin.create(
+                            "t" + i, HOST, LoopbackPorts.next(), "tasks", mStore, mTimer);
+            target.start();
+            mTargets.add(target);
+        }
+        for (int i = 0; i < ENTRY_VMS; i++) {
+            startEntryVm(i + 1);
+        }
+        mHttp.start();
+    }
+
+    void stop() {
+        mHttp.stop();
+        mNodes.forEach(CellNode::stop);
+        mTargets.forEach(CellTargetStandin::stop);
+        mStore.stop();
+        mTimer.shutdownNow();
+    }
+
+    private void configure() {
+        mStore.put(
+                "keyed.op",
+                "config",
+                "{\"Version\":1,\"Routes\":[{\"Name\":\"jobs\",\"Host\":\"127.0.0.1\","
+                        + "\"PathPrefix\":\"/jobs/\",\"TimeoutMs\":5000,\"TargetDurationMs\":5000,"
+                        + "\"Priority\":0,\"Service\":\"tasks\",\"MaxAttempts\":3,\"Stretch\":1.6}],"
+                        + "\"Services\":[{\"Name\":\"tasks\",\"AdmissionCheck\":false}]}");
+    }
+
+    private void startEntryVm(long incarnation) throws Exception {
+        String callers = HOST + ":" + LoopbackPorts.next();
+        String ini =
+                String.join(
+                        "\n",
+                        "[vm]",
+                        "failure_domain = local",
+                        "peer_address = " + HOST + ":" + LoopbackPorts.next(),
+                        "caller_address = " + callers,
+                        "operator_address = " + HOST + ":" + LoopbackPorts.next(),
+                        "ready_address = " + HOST + ":" + LoopbackPorts.next(),
+                        "metrics_address = " + HOST + ":" + LoopbackPorts.next(),
+                        "[deployment]",
+                        "failure_domains = local",
+                        "[platform]",
+                        "log = " + HOST + ":" + mStorePort,
+                        "vm_list = " + HOST + ":" + mStorePort,
+                        "store = " + HOST + ":" + mStorePort);
+        Settings settings = ((Settings.Read.Good) Settings.parse("quickstart", ini)).settings();
+        CellNode node = CellNode.create(settings, incarnation);
+        node.start();
+        mNodes.add(node);
+        mCallers.add(callers);
+    }
+
+    /**
+     * Hands jobs in at both entry VMs, one after the other.
+     *
+     * @return how many of them were completed
+     */
+    int serve(int jobs) throws InterruptedException {
+        awaitFirst();
+        int completed = 0;
+        for (int i = 0; i < jobs; i++) {
+            completed += submit(mCallers.get(i % ENTRY_VMS)) ? 1 : 0;
+        }
+        return completed;
+    }
+
+    private void awaitFirst() throws InterruptedException {
+        for (int i = 0; i < TRIES && !submit(mCallers.get(0)); i++) {
+            TimeUnit.MILLISECONDS.sleep(TRY_EVERY_MS);
+        }
+    }
+
+    private boolean submit(String address) throws InterruptedException {
+        String path = String.format("/jobs/%016x", mNextJob++);
+        String body =
+                "{\"Spec\":\"5\",\"BestEffort\":true,\"Steps\":[{\"Count\":"
+                        + TASKS
+                        + ",\"Cpu\":1000,\"MemMb\":10,\"EstimateMs\":5}]}";
+        CompletableFuture<HttpResult> answer = new CompletableFuture<>();
+        mHttp.send(HttpCall.post(address, path, body, ANSWER_WITHIN_MS, answer::complete));
+        try {
+            HttpResult result = answer.get(2 * ANSWER_WITHIN_MS, TimeUnit.MILLISECONDS);
+            return result instanceof HttpResult.Response response && response.status() == OK;
+        } catch (ExecutionException | TimeoutException e) {
+            System.err.println("no answer to " + path + ": " + e);
+            return false;
+        }
+    }
+}
--- a/app/src/main/java/org/boragegap/app/QuickstartCommand.java
+++ b/app/src/main/java/org/boragegap/app/QuickstartCommand.java
@@ -9,6 +9,9 @@
 
 /** Runs sample jobs on a small deployment in this one process. */
 final class QuickstartCommand implements Command {
+    /** Jobs of the platform's path; enough to use each kind of message. */
+    private static final int PLATFORM_JOBS = 40;
+
     @Override
     public String name() {
         return "quickstart";
@@ -22,6 +25,7 @@
     @Override
     public Options options() {
         return new Options()
+                .addOption(null, "platform", false, "shows the path of the users' platform")
                 .addOption(null, "json", false, "prints the summary as one JSON object")
                 .addOption(null, "keep", false, "leaves the deployment up, to be tried with curl");
     }
@@ -29,6 +33,9 @@
     @Override
     public ExitCode run(CommandLine line) throws Exception {
         Configurator.setRootLevel(Level.WARN);
+        if (line.hasOption("platform")) {
+            return servePlatform();
+        }
         EmbeddedDeployment deployment = EmbeddedDeployment.create(DeploymentShape.quickstart());
         deployment.start();
         SampleRun run = new SampleRun(deployment, !line.hasOption("json"));
@@ -48,4 +55,14 @@
         deployment.stop();
         return summary.good() ? ExitCode.OK : ExitCode.FAILED;
     }
+
+    /** Serves some jobs on stand-ins of the platform's store and targets. */
+    private static ExitCode servePlatform() throws Exception {
+        EmbeddedCell cell = EmbeddedCell.create();
+        cell.start();
+        int completed = cell.serve(PLATFORM_JOBS);
+        cell.stop();
+        System.out.println(completed + " of " + PLATFORM_JOBS + " jobs completed");
+        return completed == PLATFORM_JOBS ? ExitCode.OK : ExitCode.FAILED;
+    }
 }
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -5,8 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -69,8 +70,7 @@
     private final TopicFollower mConfig;
     private final TopicFollower mTargets;
     private final List<HttpEndpoint> mEndpoints = new ArrayList<>();
-    private final ScheduledExecutorService mTimer =
-            Executors.newSingleThreadScheduledExecutor(CellNode::timerThread);
+    private final ScheduledExecutorService mTimer = timer();
     private final CountDownLatch mDrained = new CountDownLatch(1);
     private volatile boolean mDraining;
 
@@ -131,6 +131,14 @@
         return new CellNode(settings, incarnation);
     }
 
+    /** Answers that come in after the stop are dropped: nobody is left to take them. */
+    private static ScheduledExecutorService timer() {
+        ScheduledThreadPoolExecutor timer =
+                new ScheduledThreadPoolExecutor(1, CellNode::timerThread);
+        timer.setRejectedExecutionHandler(new ThreadPoolExecutor.DiscardPolicy());
+        return timer;
+    }
+
     private static Thread timerThread(Runnable task) {
         Thread thread = new Thread(task, "timer");
         thread.setDaemon(true);
