A controller says when its term ends; VMs that the store turns away follow it

A controller whose membership lapsed was noticed after a silence of 500 ms. VMs listened for 300 ms after a start. Non-judging reads of members cost most calls. Change: a VM that hears no controller tells the others also while the store turns it away, and the controller answers; a term that ends says so, for whatever cause; 100 ms of listening, since the others keep a VM from asking that hears nothing for causes of its own; a process counts from the start of the virtual machine; members are read every 3 s and reads of the configuration are held back up to 1 s. Ruled out: heartbeats to all VMs ever heard of (a replaced VM never ends).

--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -159,6 +159,7 @@
         if (term.isPresent()) {
             mBefore.ownTermEnded(term.get(), mClock.monotonicMs());
             control(new CellEvent.TermEnded());
+            sendToAll(new CellMessage.Leaving(term.get()));
             mActions.add(new MemberAction.FollowTargets(false));
         }
         if (held.isPresent()) {
@@ -212,25 +213,29 @@
         return !isolated || mDesk.controller(clock.monotonicMs()).isPresent();
     }
 
-    /** Asks for the cell when it is this VM's turn; the group hears of it at once. */
+    /**
+     * Asks for the cell when it is this VM's turn; the group hears of it at once.
+     *
+     * <p>A VM that the store turns away tells the others too that it hears no controller: it is
+     * dropped from the group, so it gets no heartbeats, while the controller is well in reach.
+     */
     private void candidacy() {
-        long nowMs = mClock.monotonicMs();
-        boolean came = mMembership.justCame(mClock) || mMembership.cutOff(mClock);
-        if (came || mMembership.resigned()) {
+        if (mController.fence().isPresent() || mMembership.resigned()) {
             mCandidacy.withdraw();
             return;
         }
-        if (mController.fence().isPresent()) {
-            return;
-        }
+        long nowMs = mClock.monotonicMs();
         long silentMs = silentMs();
+        boolean cutOff = mMembership.cutOff(mClock);
         if (mCandidacy.tells(silentMs, nowMs)) {
             sendToAll(new CellMessage.Missing(mDesk.fence(), mStrength));
-            if (nowMs - mMembersReadMs >= READ_WHILE_MISSING_MS) {
+            if (!cutOff && nowMs - mMembersReadMs >= READ_WHILE_MISSING_MS) {
                 readMembers();
             }
         }
-        if (mCandidacy.turn(silentMs, mSelf, mStrength, mFollowers.peers(), nowMs)) {
+        if (cutOff || mMembership.justCame(mClock)) {
+            mCandidacy.withdraw();
+        } else if (mCandidacy.turn(silentMs, mSelf, mStrength, mFollowers.peers(), nowMs)) {
             mActions.add(new MemberAction.JoinAgain());
         }
     }
@@ -263,7 +268,6 @@
     }
 
     private void resign() {
-        mController.fence().ifPresent(fence -> sendToAll(new CellMessage.Leaving(fence)));
         mMembership.resign();
         followMembership();
         mActions.add(new MemberAction.JoinAgain());
--- a/core/src/main/java/org/boragegap/core/cell/CellMessage.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMessage.java
@@ -41,8 +41,8 @@
     record Leading(long fence) implements CellMessage {}
 
     /**
-     * Controller to all: it stops as planned and has given the cell up; another one may ask for it
-     * at once.
+     * Controller to all: it has given the cell up, as planned or since its membership is over.
+     * Another one may ask for it at once: else the others would notice after a silence of 500 ms.
      *
      * @param fence fencing token of the term
      */
--- a/core/src/main/java/org/boragegap/core/cell/Membership.java
+++ b/core/src/main/java/org/boragegap/core/cell/Membership.java
@@ -18,8 +18,11 @@
     /** Difference between two clocks that counts as a pause, in ms; scheduling delays are less. */
     private static final long PAUSE_MS = 200;
 
-    /** How long a VM listens for a controller before it asks for the cell, in ms: a few hops. */
-    private static final long LISTEN_MS = 300;
+    /**
+     * How long a VM listens for a controller before it asks for the cell, in ms: some hops. One
+     * that hears none for another cause is kept from asking by the others; see Candidacy.
+     */
+    private static final long LISTEN_MS = 100;
 
     private final long mLeaseMs;
     private long mGeneration;
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -1,6 +1,7 @@
 package org.boragegap.entry.cell;
 
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -50,9 +51,10 @@
 
     /**
      * How long a read of the configuration may be held back by the store, in ms. A change must be
-     * in force within two seconds, also when the connection has gone silent during a read.
+     * in force within two seconds, also when the connection has gone silent during a read; that is
+     * noticed half a second after the wait. Each read costs a call to the store.
      */
-    private static final long CONFIG_WAIT_MS = 500;
+    private static final long CONFIG_WAIT_MS = 1_000;
 
     private static final long CONFIG_PAUSE_MS = 20;
 
@@ -83,7 +85,7 @@
     private volatile boolean mDraining;
 
     private CellNode(Settings settings, long incarnation) {
-        mBegan = ControlThread.clock();
+        mBegan = processBegan();
         mSettings = settings;
         mSelf = settings.text(Setting.PEER_ADDRESS);
         mHttp = HttpCaller.create((int) settings.number(Setting.CONNECTIONS));
@@ -132,6 +134,13 @@
         return new CellNode(settings, incarnation);
     }
 
+    /** A clock reading of when this process began; what an earlier one did is over since then. */
+    private static ClockReading processBegan() {
+        long uptimeMs = ManagementFactory.getRuntimeMXBean().getUptime();
+        ClockReading now = ControlThread.clock();
+        return new ClockReading(now.monotonicMs() - uptimeMs, now.wallMs() - uptimeMs);
+    }
+
     /** Answers that come in after the stop are dropped: nobody is left to take them. */
     private static ScheduledExecutorService timer() {
         ScheduledThreadPoolExecutor timer =
--- a/entry/src/main/java/org/boragegap/entry/cell/GroupKeeper.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/GroupKeeper.java
@@ -34,8 +34,11 @@
     /** Joins within one lease: three may be lost. */
     private static final int JOINS_PER_LEASE = 4;
 
-    /** How often the list of members is read, in ms. */
-    private static final long MEMBERS_EVERY_MS = 1_000;
+    /**
+     * How often the list of members is read, in ms. VMs that come make themselves known, and a VM
+     * that misses its controller reads more often; this is for those that went for good.
+     */
+    private static final long MEMBERS_EVERY_MS = 3_000;
 
     private static final long ANSWER_WITHIN_MS = 600;
 
