A job whose cell has no target is refused at once; cells end to end

Cause: an empty list of targets was taken for one that was not read yet, so a job waited until its caller's time was over. Found by the new end-to-end test of two cells, whose six targets fell into one. Change: a term knows that its list was read. Test: CellControllerTest, EmbeddedCellTest (layout decided by the entry VMs; jobs of two cells on their own targets).

--- a/app/src/main/java/org/boragegap/app/EmbeddedCell.java
+++ b/app/src/main/java/org/boragegap/app/EmbeddedCell.java
@@ -2,18 +2,22 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.boragegap.core.cell.CellLayout;
 import org.boragegap.entry.Settings;
 import org.boragegap.entry.cell.CellNode;
 import org.boragegap.http.HttpCall;
 import org.boragegap.http.HttpCaller;
 import org.boragegap.http.HttpResult;
+import org.boragegap.platform.Topics;
 import org.boragegap.standin.CellTargetStandin;
 import org.boragegap.standin.LoopbackPorts;
 import org.boragegap.standin.StoreStandin;
@@ -24,7 +28,11 @@
 final class EmbeddedCell {
     private static final String HOST = "127.0.0.1";
     private static final int ENTRY_VMS = 2;
-    private static final int TARGETS = 2;
+    private static final int TARGETS = 6;
+
+    /** Makes ids that differ as those of real targets do; the golden ratio of 32 bits. */
+    private static final int SPREAD = 0x9E3779B9;
+
     private static final int TASKS = 4;
     private static final int CONNECTIONS = 4;
     private static final int OK = 200;
@@ -52,18 +60,40 @@
         mStore = StoreStandin.create(HOST, mStorePort, mTimer);
     }
 
-    /** Makes a cell that isn't started yet. */
+    /** Makes a deployment that isn't started yet; its entry VMs decide on the layout. */
     static EmbeddedCell create() throws IOException {
         return new EmbeddedCell();
     }
 
+    /** Makes a deployment whose layout the store already holds. */
+    static EmbeddedCell withLayout(CellLayout layout) throws IOException {
+        EmbeddedCell cell = new EmbeddedCell();
+        cell.mStore.put(Topics.LAYOUT, Topics.CELLS_KEY, layout.text());
+        return cell;
+    }
+
+    /** Tasks that were started on the targets of a cell of this layout. */
+    Set<String> startedIn(CellLayout layout, int cell) {
+        Set<String> started = new HashSet<>();
+        for (int i = 0; i < TARGETS; i++) {
+            if (layout.cellOfTarget(targetId(i)) == cell) {
+                started.addAll(mTargets.get(i).starts().keySet());
+            }
+        }
+        return started;
+    }
+
+    private static String targetId(int number) {
+        return String.format("i-%08x", number * SPREAD);
+    }
+
     void start() throws Exception {
         mStore.start();
         configure();
         for (int i = 0; i < TARGETS; i++) {
             CellTargetStandin target =
                     CellTargetStandin.create(
-                            "t" + i, HOST, LoopbackPorts.next(), "tasks", mStore, mTimer);
+                            targetId(i), HOST, LoopbackPorts.next(), "tasks", mStore, mTimer);
             target.start();
             mTargets.add(target);
         }
--- a/core/src/main/java/org/boragegap/core/cell/JobBook.java
+++ b/core/src/main/java/org/boragegap/core/cell/JobBook.java
@@ -75,7 +75,7 @@
         long objectiveMs = Math.round(request.stretch() * longestMs) + request.aimMs();
         long arrivedMs = mTerm.nowMs() - offer.ageMs();
         CellJob job = new CellJob(request, arrivedMs, objectiveMs, longestMs, offer.controllers());
-        if (!mTerm.targets().isEmpty() && !mPlacement.possible(request)) {
+        if (mTerm.areTargetsListed() && !mPlacement.possible(request)) {
             refuse(offer, job, "no target can hold it", 0);
             return;
         }
--- a/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
@@ -58,6 +58,7 @@
     }
 
     void listed(List<TargetInfo> infos) {
+        mTerm.targetsListed();
         Set<String> ids = new HashSet<>();
         for (TargetInfo info : infos) {
             ids.add(info.id());
--- a/core/src/main/java/org/boragegap/core/cell/Term.java
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -16,6 +16,7 @@
     private final TreeSet<CellJob> mWaiting =
             new TreeSet<>(
                     Comparator.comparingLong(CellJob::latestStartMs).thenComparing(CellJob::id));
+    private boolean mTargetsListed;
     private long mNowMs;
     private long mActsUntilMs;
     private List<CellAction> mActions;
@@ -64,6 +65,15 @@
         return mTargets;
     }
 
+    /** The platform's list of targets was read in this term. */
+    void targetsListed() {
+        mTargetsListed = true;
+    }
+
+    boolean areTargetsListed() {
+        return mTargetsListed;
+    }
+
     Map<String, CellJob> jobs() {
         return mJobs;
     }
