After a change of controller, late jobs come last; asking VMs join often

The cell was dealt up to half a second after the old holder was dropped, since joins are 250 ms apart. After a kill of all, a term of 30 ms that had started nothing made the next one wait for 1.1 s. Change: a job that is too late already, with nothing of it begun, goes behind those that can be in time; a VM that asks joins every 50 ms; a term that started nothing and saw nothing at work isn't asked after.

--- a/core/src/main/java/org/boragegap/core/cell/Candidacy.java
+++ b/core/src/main/java/org/boragegap/core/cell/Candidacy.java
@@ -44,10 +44,14 @@
 
     private record Missed(int strength, long atMs) {}
 
+    /** Time between two joins of a VM that asks, in ms; a join costs a tenth of a call. */
+    private static final long JOIN_EVERY_MS = 50;
+
     private final Map<String, Missed> mMissedBy = new HashMap<>();
     private final int mCell;
     private boolean mAsks;
     private long mToldMs = Long.MIN_VALUE / 2;
+    private long mJoinedMs = Long.MIN_VALUE / 2;
 
     Candidacy(int cell) {
         mCell = cell;
@@ -86,17 +90,27 @@
      * @param silentMs for how long no controller was heard of, in ms
      * @param strength how much processor this VM has for the cell
      * @param peers the other VMs in the group
-     * @return true when it begins to ask now
      */
-    boolean turn(long silentMs, String self, int strength, Set<String> peers, long nowMs) {
+    void turn(long silentMs, String self, int strength, Set<String> peers, long nowMs) {
         List<String> voters = peers.stream().filter(peer -> missesIt(peer, nowMs)).toList();
         boolean most = 2 * (voters.size() + 1) > peers.size() + 1;
         long before = voters.stream().filter(peer -> isBefore(peer, self, strength)).count();
         long steps = Math.min(before, MOST_STEPS);
         if (mAsks || !most || silentMs <= ASK_MS + steps * STEP_MS) {
-            return false;
+            return;
         }
         mAsks = true;
+    }
+
+    /**
+     * Whether to join now. The group deals the cell with the first join after its last holder is
+     * dropped; one that asks joins often, so as not to lose a quarter of a second then.
+     */
+    boolean joins(long nowMs) {
+        if (!mAsks || nowMs - mJoinedMs < JOIN_EVERY_MS) {
+            return false;
+        }
+        mJoinedMs = nowMs;
         return true;
     }
 
--- a/core/src/main/java/org/boragegap/core/cell/CellController.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -49,6 +49,14 @@
         return Optional.ofNullable(mTerm).map(Term::fence);
     }
 
+    /**
+     * True when this term has started nothing and has extended the lease of nothing: a next
+     * controller needn't ask where its tasks are.
+     */
+    public boolean hasTouchedNothing() {
+        return mTerm == null || !mSettled && !mTerm.hasSeenRuns();
+    }
+
     /** What it has in hand. */
     public CellState state() {
         if (mTerm == null) {
@@ -172,6 +180,7 @@
             return;
         }
         boolean settled = settled();
+        mTerm.putLateBehind();
         for (CellJob job : new ArrayList<>(mTerm.waiting())) {
             boolean may = settled && !job.abandoned();
             if (may && startTasks(job)) {
--- a/core/src/main/java/org/boragegap/core/cell/CellJob.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellJob.java
@@ -23,6 +23,7 @@
     private int mOpenTasks;
     private boolean mMayHaveStarted;
     private long mAbandonedMs = -1;
+    private boolean mLate;
 
     CellJob(JobRequest request, long arrivedMs, long objectiveMs, long longestMs, int controllers) {
         mRequest = request;
@@ -81,6 +82,25 @@
         mMayHaveStarted = true;
     }
 
+    /** True when it was found too late to meet its objective, with nothing of it begun. */
+    boolean late() {
+        return mLate;
+    }
+
+    /** To be called while no ordered set holds it. */
+    void foundLate() {
+        mLate = true;
+    }
+
+    /** True when some task of it runs or is done. */
+    boolean begun() {
+        int all = 0;
+        for (List<CellTask> tasks : mSteps) {
+            all += tasks.size();
+        }
+        return mOpenTasks < all || hasRuns();
+    }
+
     boolean abandoned() {
         return mAbandonedMs >= 0;
     }
--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -157,7 +157,9 @@
             return;
         }
         if (term.isPresent()) {
-            mBefore.ownTermEnded(term.get(), mClock.monotonicMs());
+            if (!mController.hasTouchedNothing()) {
+                mBefore.ownTermEnded(term.get(), mClock.monotonicMs());
+            }
             control(new CellEvent.TermEnded());
             sendToAll(new CellMessage.Leaving(term.get()));
             mActions.add(new MemberAction.FollowTargets(false));
@@ -235,7 +237,10 @@
         }
         if (cutOff || mMembership.justCame(mClock)) {
             mCandidacy.withdraw();
-        } else if (mCandidacy.turn(silentMs, mSelf, mStrength, mFollowers.peers(), nowMs)) {
+        } else {
+            mCandidacy.turn(silentMs, mSelf, mStrength, mFollowers.peers(), nowMs);
+        }
+        if (mCandidacy.joins(nowMs)) {
             mActions.add(new MemberAction.JoinAgain());
         }
     }
--- a/core/src/main/java/org/boragegap/core/cell/RunLedger.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunLedger.java
@@ -195,6 +195,7 @@
     }
 
     private void running(Target target, TargetReport.RunningRow row) {
+        mTerm.sawRuns();
         Run run = target.run(row.task(), row.run()).orElse(null);
         if (run != null) {
             run.reported(row.percent(), mTerm.nowMs());
--- a/core/src/main/java/org/boragegap/core/cell/Term.java
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -15,8 +15,11 @@
     private final Map<String, CellJob> mJobs = new HashMap<>();
     private final TreeSet<CellJob> mWaiting =
             new TreeSet<>(
-                    Comparator.comparingLong(CellJob::latestStartMs).thenComparing(CellJob::id));
+                    Comparator.comparing(CellJob::late)
+                            .thenComparingLong(CellJob::latestStartMs)
+                            .thenComparing(CellJob::id));
     private boolean mTargetsListed;
+    private boolean mSawRuns;
     private long mNowMs;
     private long mActsUntilMs;
     private List<CellAction> mActions;
@@ -78,8 +81,37 @@
         return mJobs;
     }
 
-    /** Jobs with tasks that may start, the one that has to start first in front. */
+    /**
+     * Jobs with tasks that may start, the one that has to start first in front, and those that are
+     * too late already behind all others.
+     */
     TreeSet<CellJob> waiting() {
         return mWaiting;
     }
+
+    /**
+     * Puts jobs that can't meet their objective any more behind those that can. After a change of
+     * the controller all that waited comes at once, much of it late; in front, it took the targets
+     * for over a second, and callers who came meanwhile were refused or late as well.
+     */
+    void putLateBehind() {
+        while (!mWaiting.isEmpty()) {
+            CellJob first = mWaiting.first();
+            if (first.late() || first.latestStartMs() >= mNowMs || first.begun()) {
+                return;
+            }
+            mWaiting.remove(first);
+            first.foundLate();
+            mWaiting.add(first);
+        }
+    }
+
+    /** A target has reported something at work in this term. */
+    void sawRuns() {
+        mSawRuns = true;
+    }
+
+    boolean hasSeenRuns() {
+        return mSawRuns;
+    }
 }
--- a/core/src/test/java/org/boragegap/core/cell/CellControllerTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellControllerTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.boragegap.core.ClockReading;
 import org.junit.jupiter.api.Test;
 
@@ -12,8 +13,12 @@
 final class CellControllerTest {
     private static final String JOB = "00000000000000aa";
 
+    private static final TargetInfo TARGET =
+            new TargetInfo("t", "t", "service", "domain", 1_000, 100, 0, Set.of(), false, false);
+
     private final CellController mController = CellController.create(new CellSettings(1_000, 2));
     private final List<CellAction> mActions = new ArrayList<>();
+    private long mOffer = 1;
 
     private void on(long ms, CellEvent event) {
         mController.on(event, new ClockReading(ms, ms), mActions);
@@ -53,4 +58,67 @@
         offer(10);
         assertThat(verdicts()).isEmpty();
     }
+
+    private void offer(long ms, String id, long ageMs, int controllers) {
+        StepRequest step = StepRequest.plain(1, 1_000, 100);
+        JobRequest request =
+                new JobRequest(id, "queue", "service", 0, 3, 1.6, 60, "", List.of(step), 1);
+        on(ms, new CellEvent.Offered("vm1", request, ageMs, controllers, mOffer++));
+    }
+
+    private long lastCall() {
+        return mActions.stream()
+                .filter(CellAction.ExtendLease.class::isInstance)
+                .mapToLong(action -> ((CellAction.ExtendLease) action).call())
+                .max()
+                .orElseThrow();
+    }
+
+    private void targetReports(long ms) {
+        TargetReport report = new TargetReport(ms, List.of(), List.of());
+        on(ms, new CellEvent.LeaseExtended("t", lastCall(), report));
+    }
+
+    private List<String> started() {
+        return mActions.stream()
+                .filter(CellAction.StartRun.class::isInstance)
+                .map(action -> ((CellAction.StartRun) action).task().job())
+                .toList();
+    }
+
+    /**
+     * The controller was lost. All that waited comes to the next one at once, some of it too late
+     * to be worth much; a caller who comes now must not wait behind it.
+     */
+    @Test
+    void whatIsTooLateAlreadyStartsAfterWhatCanBeInTime() {
+        on(0, new CellEvent.TermBegan(7, Optional.of(List.of(TARGET))));
+        offer(10, "00000000000000f1", 1_400, 2);
+        offer(11, "00000000000000f2", 0, 1);
+        targetReports(20);
+        on(21, new CellEvent.PredecessorsKnown(true));
+        assertThat(started()).containsExactly("00000000000000f2");
+    }
+
+    /** A term that ends before it could start anything leaves nothing to be asked for. */
+    @Test
+    void aTermThatStartedAndSawNothingHasTouchedNothing() {
+        on(0, new CellEvent.TermBegan(7, Optional.of(List.of(TARGET))));
+        targetReports(20);
+        assertThat(mController.hasTouchedNothing()).isTrue();
+        on(21, new CellEvent.PredecessorsKnown(true));
+        offer(22, "00000000000000f3", 0, 1);
+        assertThat(mController.hasTouchedNothing()).isFalse();
+    }
+
+    /** It may have extended the lease of an earlier controller's task. */
+    @Test
+    void aTermThatSawARunHasTouchedSomething() {
+        on(0, new CellEvent.TermBegan(7, Optional.of(List.of(TARGET))));
+        TaskName task = new TaskName("00000000000000f4", 0, 0, 0);
+        TargetReport report =
+                new TargetReport(20, List.of(new TargetReport.RunningRow(task, 1, 50)), List.of());
+        on(20, new CellEvent.LeaseExtended("t", lastCall(), report));
+        assertThat(mController.hasTouchedNothing()).isFalse();
+    }
 }
