--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -211,7 +211,7 @@
      * can't serve them; told so, the platform sends them to other failure domains.
      */
     public boolean servesCallers(ClockReading clock) {
-        boolean isolated = mMembership.cutOff(clock);
+        boolean isolated = mMembership.storeSilent(clock);
         return !isolated || mDesk.controller(clock.monotonicMs()).isPresent();
     }
 
--- a/core/src/main/java/org/boragegap/core/cell/RunLedger.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunLedger.java
@@ -28,21 +28,12 @@
     /** Ends of jobs that nobody has offered are kept up to this number; a few seconds' worth. */
     private static final int MOST_FOREIGN_DONE = 5_000;
 
-    /** Failed runs in a row after which a target is given a rest. */
-    private static final int TROUBLES_TO_AVOID = 3;
-
-    /** First rest of a target that fails everything, in ms; doubled each time, up to the most. */
-    private static final long FIRST_REST_MS = 500;
-
-    private static final long MOST_REST_MS = 8_000;
-
-    /** A run is stuck after this many times its expected time and a pause, if hardly under way. */
-    private static final double STUCK_FACTOR = 2.5;
-
-    private static final long STUCK_SLACK_MS = 200;
+    /** Run numbers passed over when a target says that it has seen a higher one. */
+    private static final int RUNS_TO_SKIP = 3;
 
     private final Term mTerm;
     private final RunTimes mTimes;
+    private final TargetHealth mHealth;
     private final Set<TaskName> mForeignDone = new LinkedHashSet<>();
     private JobBook mJobs;
     private LeaseKeeper mLeases;
@@ -50,6 +41,7 @@
     RunLedger(Term term, RunTimes times) {
         mTerm = term;
         mTimes = times;
+        mHealth = new TargetHealth(term, times);
     }
 
     /** Connects what depends on each other; to be called once, before use. */
@@ -123,10 +115,10 @@
         }
         release(run, "start " + result);
         if (result == OrderResult.OLD_RUN) {
-            run.task().skipRunsUpTo(run.number() + TROUBLES_TO_AVOID);
+            run.task().skipRunsUpTo(run.number() + RUNS_TO_SKIP);
         }
         if (result == OrderResult.NOT_RUN || result == OrderResult.NO_ROOM) {
-            trouble(run.target());
+            mHealth.trouble(run.target());
         }
     }
 
@@ -236,7 +228,7 @@
             conclude(task, row.cause());
         }
         if (row.cause().countsAsAttempt()) {
-            trouble(target);
+            mHealth.trouble(target);
         }
     }
 
@@ -287,22 +279,6 @@
         mTimes.add(queue, step, tookMs);
     }
 
-    private void trouble(Target target) {
-        int troubles = target.troubled();
-        if (troubles < TROUBLES_TO_AVOID) {
-            return;
-        }
-        int doublings = Math.min(troubles - TROUBLES_TO_AVOID, 10);
-        long restMs = Math.min(MOST_REST_MS, FIRST_REST_MS << doublings);
-        target.avoid(mTerm.nowMs() + restMs);
-        mTerm.log(
-                Decision.target(
-                        "avoid",
-                        target.id(),
-                        "failures_in_a_row=" + troubles,
-                        "one probe after " + restMs + " ms"));
-    }
-
     /** Takes over what already runs, or has ended, of a job that was just offered. */
     void adopt(CellJob job) {
         creditDone(job);
@@ -361,7 +337,7 @@
     private void watch(Run run) {
         if (run.stopOverdue(mTerm.nowMs(), STOP_RETRY_MS)) {
             stop(run);
-        } else if (!run.stopAsked() && stuck(run)) {
+        } else if (!run.stopAsked() && mHealth.isStuck(run)) {
             mTerm.log(
                     Decision.run(
                             "stuck",
@@ -372,24 +348,11 @@
                                     + " percent="
                                     + run.percent(),
                             "stopped, to run elsewhere"));
-            run.target().sample(1, STUCK_FACTOR);
-            trouble(run.target());
+            mHealth.foundStuck(run);
             stop(run);
         }
     }
 
-    /** A target that stands still shows as a run far over its time that has hardly begun. */
-    private boolean stuck(Run run) {
-        if (run.state() != Run.State.RUNNING) {
-            return false;
-        }
-        double expectedMs =
-                mTimes.expectedMs(run.task().job().request().queue(), run.task().step());
-        double boundMs = STUCK_FACTOR * expectedMs / Math.max(0.2, run.target().speed());
-        long ageMs = mTerm.nowMs() - run.confirmedMs();
-        return ageMs > boundMs + STUCK_SLACK_MS && run.percent() < 50;
-    }
-
     private void stopForeign(Target target) {
         target.foreign()
                 .forEach(
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/cell/TargetHealth.java
@@ -0,0 +1,63 @@
+package org.boragegap.core.cell;
+
+/**
+ * Judges targets by what becomes of the runs that they are given. A target that fails everything
+ * has free room at all times and would draw all work; one that stands still holds it.
+ */
+final class TargetHealth {
+    /** Failed runs in a row after which a target is given a rest. */
+    private static final int TROUBLES_TO_AVOID = 3;
+
+    /** First rest of a target that fails everything, in ms; doubled each time, up to the most. */
+    private static final long FIRST_REST_MS = 500;
+
+    private static final long MOST_REST_MS = 8_000;
+
+    /** A run is stuck after this many times its expected time and a pause, if hardly under way. */
+    private static final double STUCK_FACTOR = 2.5;
+
+    private static final long STUCK_SLACK_MS = 200;
+
+    private final Term mTerm;
+    private final RunTimes mTimes;
+
+    TargetHealth(Term term, RunTimes times) {
+        mTerm = term;
+        mTimes = times;
+    }
+
+    /** A run has failed on the target, or wasn't taken. */
+    void trouble(Target target) {
+        int troubles = target.troubled();
+        if (troubles < TROUBLES_TO_AVOID) {
+            return;
+        }
+        int doublings = Math.min(troubles - TROUBLES_TO_AVOID, 10);
+        long restMs = Math.min(MOST_REST_MS, FIRST_REST_MS << doublings);
+        target.avoid(mTerm.nowMs() + restMs);
+        mTerm.log(
+                Decision.target(
+                        "avoid",
+                        target.id(),
+                        "failures_in_a_row=" + troubles,
+                        "one probe after " + restMs + " ms"));
+    }
+
+    /** A target that stands still shows as a run far over its time that has hardly begun. */
+    boolean isStuck(Run run) {
+        if (run.state() != Run.State.RUNNING) {
+            return false;
+        }
+        double expectedMs =
+                mTimes.expectedMs(run.task().job().request().queue(), run.task().step());
+        double boundMs = STUCK_FACTOR * expectedMs / Math.max(0.2, run.target().speed());
+        long ageMs = mTerm.nowMs() - run.confirmedMs();
+        return ageMs > boundMs + STUCK_SLACK_MS && run.percent() < 50;
+    }
+
+    /** A run that stands still counts as a failed one, and as slow. */
+    void foundStuck(Run run) {
+        run.target().sample(1, STUCK_FACTOR);
+        trouble(run.target());
+    }
+}
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -16,7 +16,6 @@
 import org.apache.logging.log4j.Logger;
 import org.boragegap.core.ClockReading;
 import org.boragegap.core.cell.CellAction;
-import org.boragegap.core.cell.CellEvent;
 import org.boragegap.core.cell.CellLayout;
 import org.boragegap.core.cell.CellMember;
 import org.boragegap.core.cell.CellMessage;
@@ -327,9 +326,12 @@
 
     private final class Output implements CellOutput {
         private final int mCell;
+        private final OrderSender mSender;
 
         private Output(int cell) {
             mCell = cell;
+            mSender =
+                    new OrderSender(mOrders, event -> mThread.post(() -> mCells.on(mCell, event)));
         }
 
         @Override
@@ -339,53 +341,17 @@
 
         @Override
         public void extend(CellAction.ExtendLease order) {
-            String id = order.target().id();
-            mOrders.extend(
-                    order,
-                    result -> mThread.post(() -> mCells.on(mCell, leaseEvent(id, order, result))));
-        }
-
-        private CellEvent leaseEvent(
-                String id, CellAction.ExtendLease order, TargetOrders.LeaseResult result) {
-            if (result instanceof TargetOrders.LeaseResult.Extended extended) {
-                return new CellEvent.LeaseExtended(id, order.call(), extended.report());
-            }
-            return new CellEvent.LeaseFailed(
-                    id, order.call(), ((TargetOrders.LeaseResult.NotExtended) result).cause());
+            mSender.extend(order);
         }
 
         @Override
         public void start(CellAction.StartRun order) {
-            String id = order.target().id();
-            mOrders.start(
-                    order,
-                    result ->
-                            mThread.post(
-                                    () ->
-                                            mCells.on(
-                                                    mCell,
-                                                    new CellEvent.StartAnswered(
-                                                            id,
-                                                            order.task(),
-                                                            order.run(),
-                                                            result))));
+            mSender.start(order);
         }
 
         @Override
         public void stop(CellAction.StopRun order) {
-            String id = order.target().id();
-            mOrders.stop(
-                    order,
-                    taken ->
-                            mThread.post(
-                                    () ->
-                                            mCells.on(
-                                                    mCell,
-                                                    new CellEvent.StopAnswered(
-                                                            id,
-                                                            order.task(),
-                                                            order.run(),
-                                                            taken))));
+            mSender.stop(order);
         }
 
         @Override
--- /dev/null
+++ b/entry/src/main/java/org/boragegap/entry/cell/OrderSender.java
@@ -0,0 +1,55 @@
+package org.boragegap.entry.cell;
+
+import java.util.function.Consumer;
+import org.boragegap.core.cell.CellAction;
+import org.boragegap.core.cell.CellEvent;
+import org.boragegap.platform.TargetOrders;
+
+/** Sends a cell's orders to targets and turns what becomes of them into events. */
+final class OrderSender {
+    private final TargetOrders mOrders;
+    private final Consumer<CellEvent> mCell;
+
+    /**
+     * Makes a sender.
+     *
+     * @param cell takes what became of each order, on any thread
+     */
+    OrderSender(TargetOrders orders, Consumer<CellEvent> cell) {
+        mOrders = orders;
+        mCell = cell;
+    }
+
+    void extend(CellAction.ExtendLease order) {
+        mOrders.extend(order, result -> mCell.accept(extended(order, result)));
+    }
+
+    private static CellEvent extended(
+            CellAction.ExtendLease order, TargetOrders.LeaseResult result) {
+        String id = order.target().id();
+        if (result instanceof TargetOrders.LeaseResult.Extended extended) {
+            return new CellEvent.LeaseExtended(id, order.call(), extended.report());
+        }
+        return new CellEvent.LeaseFailed(
+                id, order.call(), ((TargetOrders.LeaseResult.NotExtended) result).cause());
+    }
+
+    void start(CellAction.StartRun order) {
+        String id = order.target().id();
+        mOrders.start(
+                order,
+                result ->
+                        mCell.accept(
+                                new CellEvent.StartAnswered(
+                                        id, order.task(), order.run(), result)));
+    }
+
+    void stop(CellAction.StopRun order) {
+        String id = order.target().id();
+        mOrders.stop(
+                order,
+                taken ->
+                        mCell.accept(
+                                new CellEvent.StopAnswered(id, order.task(), order.run(), taken)));
+    }
+}
