A stopping VM serves on until callers go elsewhere, and closes connections

Change: a stopping VM gives its cells up at once, serves its callers through the next controller for 2.2 s, and asks for each connection to be closed after its answer; then it takes no more and ends as before, within 5.3 s of the 6 that the platform grants.

--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -121,6 +121,8 @@
             desk(desk.event());
         } else if (event instanceof MemberEvent.Resigned) {
             resign();
+        } else if (event instanceof MemberEvent.Closed) {
+            desk(new EntryEvent.Draining());
         } else if (event instanceof MemberEvent.Ticked) {
             tick();
         }
@@ -276,7 +278,6 @@
         mMembership.resign();
         followMembership();
         mActions.add(new MemberAction.JoinAgain());
-        desk(new EntryEvent.Draining());
     }
 
     private void tick() {
--- a/core/src/main/java/org/boragegap/core/cell/MemberEvent.java
+++ b/core/src/main/java/org/boragegap/core/cell/MemberEvent.java
@@ -44,9 +44,12 @@
      */
     record ForDesk(EntryEvent event) implements MemberEvent {}
 
-    /** This VM is about to stop, as planned. */
+    /** This VM is about to stop, as planned: it gives the cell up and serves its callers on. */
     record Resigned() implements MemberEvent {}
 
+    /** This VM takes no more callers. */
+    record Closed() implements MemberEvent {}
+
     /** Time has passed. */
     record Ticked() implements MemberEvent {}
 }
--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -26,6 +26,7 @@
     private static final long TICK_MS = 25;
     private static final long LIST_MS = 400;
     private static final long BUDGET_MS = 2_500;
+    private static final long SERVE_ON_MOST_MS = 1_500;
 
     private final SplittableRandom mRandom;
     private final CellOracle mOracle = new CellOracle();
@@ -86,7 +87,7 @@
         after(5, this::targetsStep);
         for (long at = 1_500; at < FAULTS_UNTIL_MS; at += 30 + mRandom.nextInt(90)) {
             int job = (int) at;
-            after(at, () -> submit(request(job)));
+            after(at, () -> submit(FakeJobs.request(mRandom, job)));
         }
     }
 
@@ -340,23 +341,6 @@
 
     // Callers
 
-    private JobRequest request(int number) {
-        int tasks = 1 + mRandom.nextInt(3);
-        long estimateMs = 50 + mRandom.nextInt(600);
-        StepRequest step = StepRequest.plain(tasks, TASK_CPU, estimateMs);
-        return new JobRequest(
-                String.format("%016x", number),
-                "queue" + estimateMs / 100,
-                "service",
-                0,
-                3,
-                1.6,
-                500,
-                "",
-                List.of(step),
-                1);
-    }
-
     private void submit(JobRequest request) {
         FakeEntryVm vm = mVms.get(mRandom.nextInt(VMS));
         mOracle.handedIn(request.id());
@@ -423,11 +407,17 @@
     /** Gives the cell up, answers what waits, leaves the group when it may, and starts again. */
     private void stopAsPlanned(FakeEntryVm vm) {
         if (vm.mAlive && mClock.nowMs() >= vm.mFrozenUntilMs) {
-            feed(vm, vm.mLife, new MemberEvent.Resigned());
-            lookDrained(vm, vm.mLife);
+            int life = vm.mLife;
+            feed(vm, life, new MemberEvent.Resigned());
+            after(mRandom.nextLong(SERVE_ON_MOST_MS), () -> close(vm, life));
         }
     }
 
+    private void close(FakeEntryVm vm, int life) {
+        feed(vm, life, new MemberEvent.Closed());
+        lookDrained(vm, life);
+    }
+
     private void lookDrained(FakeEntryVm vm, int life) {
         on(
                 vm,
--- a/core/src/test/java/org/boragegap/core/cell/CellMemberTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellMemberTest.java
@@ -222,6 +222,37 @@
         }
     }
 
+    /**
+     * A VM is stopped as planned. The platform goes on sending it callers for two seconds; they
+     * were refused although the cell had a controller and room.
+     */
+    @Nested
+    final class Stopping {
+        private void submit(long ms) {
+            StepRequest step = StepRequest.plain(1, 1_000, 100);
+            JobRequest request =
+                    new JobRequest("00000000000000aa", "q", "s", 0, 3, 2, 60, "", List.of(step), 1);
+            feed(ms, new MemberEvent.ForDesk(new EntryEvent.Submitted(1, request, 2_000)));
+        }
+
+        @Test
+        void callersAreServedByTheNextControllerUntilItCloses() {
+            hears(0, "vm2", new CellMessage.Leading(3_000));
+            feed(10, new MemberEvent.Resigned());
+            submit(20);
+            assertThat(said("vm2", CellMessage.Offer.class)).hasSize(1);
+        }
+
+        @Test
+        void callersAreRefusedOnceItHasClosed() {
+            hears(0, "vm2", new CellMessage.Leading(3_000));
+            feed(10, new MemberEvent.Resigned());
+            feed(15, new MemberEvent.Closed());
+            submit(20);
+            assertThat(said("vm2", CellMessage.Offer.class)).isEmpty();
+        }
+    }
+
     /**
      * A failure domain is cut off from the store and the other domains. Its callers are refused for
      * as long as the platform sends them there; told that this VM can't serve, it sends them on.
--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/cell/FakeJobs.java
@@ -0,0 +1,26 @@
+package org.boragegap.core.cell;
+
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** Jobs of a history: one to three tasks of a core each, with estimates that are far off. */
+final class FakeJobs {
+    private FakeJobs() {}
+
+    static JobRequest request(SplittableRandom random, int number) {
+        int tasks = 1 + random.nextInt(3);
+        long estimateMs = 50 + random.nextInt(600);
+        StepRequest step = StepRequest.plain(tasks, CellHistory.TASK_CPU, estimateMs);
+        return new JobRequest(
+                String.format("%016x", number),
+                "queue" + estimateMs / 100,
+                "service",
+                0,
+                3,
+                1.6,
+                500,
+                "",
+                List.of(step),
+                1);
+    }
+}
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -60,6 +60,13 @@
     /** Time between two reads of the list of targets, in ms: a leaving one must be left in 2 s. */
     private static final long TARGETS_PAUSE_MS = 400;
 
+    /**
+     * How long a stopping process serves on, in ms, while it reports not ready. The platform asks
+     * once a second and sends new callers elsewhere after two misses; who came before that was
+     * refused, one caller in ten while VMs were restarted in turn.
+     */
+    private static final long SERVE_ON_MS = 2_200;
+
     /** How often a stopping process looks whether all callers are answered, in ms. */
     private static final long DRAIN_LOOK_MS = 20;
 
@@ -256,8 +263,16 @@
             return;
         }
         mDraining = true;
+        mJobs.stopping();
         sLog.info("draining");
         mThread.post(() -> mCells.onAll(new MemberEvent.Resigned()));
+        mTimer.schedule(this::close, SERVE_ON_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Takes no more callers, and looks until those that wait are answered. */
+    private void close() {
+        sLog.info("draining: takes no more callers");
+        mThread.post(() -> mCells.onAll(new MemberEvent.Closed()));
         mTimer.scheduleWithFixedDelay(
                 this::lookDrained, DRAIN_LOOK_MS, DRAIN_LOOK_MS, TimeUnit.MILLISECONDS);
     }
--- a/entry/src/main/java/org/boragegap/entry/cell/JobApi.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/JobApi.java
@@ -42,6 +42,7 @@
     private final Map<Long, Caller> mCallers = new ConcurrentHashMap<>();
     private final AtomicLong mNextTicket = new AtomicLong(1);
     private volatile Configuration mConfiguration;
+    private volatile boolean mStopping;
 
     JobApi(Desk desk, CellMetrics metrics) {
         mDesk = desk;
@@ -65,6 +66,15 @@
                         configuration.routes().size() + " routes in force"));
     }
 
+    /**
+     * The process will stop: each connection is closed after its next answer. Callers keep open
+     * connections, and whatever they sent on one to a process that takes no more was refused,
+     * though other entry VMs had room for it.
+     */
+    void stopping() {
+        mStopping = true;
+    }
+
     boolean configured() {
         return mConfiguration != null;
     }
@@ -185,7 +195,10 @@
         send(caller.in(), answer);
     }
 
-    private static void send(HttpIn in, JobProtocol.Reply reply) {
+    private void send(HttpIn in, JobProtocol.Reply reply) {
+        if (mStopping) {
+            in.closeAfterReply();
+        }
         Map<String, String> headers =
                 reply.retryAfterS()
                         .map(seconds -> Map.of(JobProtocol.RETRY_HEADER, seconds.toString()))
--- a/http/src/main/java/org/boragegap/http/HttpIn.java
+++ b/http/src/main/java/org/boragegap/http/HttpIn.java
@@ -73,6 +73,11 @@
         }
     }
 
+    /** Asks for the connection to be closed after the reply; to be called before it. */
+    public void closeAfterReply() {
+        mResponse.setHeader("Connection", "close");
+    }
+
     /** The body as UTF-8. */
     public String text() {
         return new String(mBody, StandardCharsets.UTF_8);
