The line of an answer says why; a late and a refused request from id to cause

Cause: a caller that an entry VM refused itself (no controller known, stopping) had an answer line without the reason, and no other line. Change: verdicts have a reason, the answer's line carries it.

--- a/core/src/main/java/org/boragegap/core/cell/Verdict.java
+++ b/core/src/main/java/org/boragegap/core/cell/Verdict.java
@@ -3,8 +3,16 @@
 /** How a job ended for its caller. */
 public sealed interface Verdict {
 
+    /** Why it ended so, in one line. */
+    String reason();
+
     /** Every task of the job has ended well. */
-    record Completed() implements Verdict {}
+    record Completed() implements Verdict {
+        @Override
+        public String reason() {
+            return "all tasks done";
+        }
+    }
 
     /**
      * It can't be done.
--- a/entry/src/main/java/org/boragegap/entry/cell/JobApi.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/JobApi.java
@@ -190,7 +190,7 @@
                 Decision.job(
                         "answer",
                         reply.job(),
-                        "waited_ms=" + reply.waitedMs(),
+                        "waited_ms=" + reply.waitedMs() + " reason=" + reply.verdict().reason(),
                         answer.status() + " " + reply.verdict().getClass().getSimpleName()));
         send(caller.in(), answer);
     }
