Sample calls of the platform stand in the stand-ins' module

The platform's field names stood in the command line's module (EmbeddedCell) and again in CellPathTest. SampleCalls in standin has them once, with the decoder's own constants for topics and keys.

--- a/app/src/main/java/org/boragegap/app/EmbeddedCell.java
+++ b/app/src/main/java/org/boragegap/app/EmbeddedCell.java
@@ -20,6 +20,7 @@
 import org.boragegap.platform.Topics;
 import org.boragegap.standin.CellTargetStandin;
 import org.boragegap.standin.LoopbackPorts;
+import org.boragegap.standin.SampleCalls;
 import org.boragegap.standin.StoreStandin;
 
 /**
@@ -34,6 +35,10 @@
     private static final int SPREAD = 0x9E3779B9;
 
     private static final int TASKS = 4;
+
+    /** Run time of a task, in ms, as the target stand-in takes it. */
+    private static final String TASK_MS = "5";
+
     private static final int CONNECTIONS = 4;
     private static final int OK = 200;
 
@@ -89,11 +94,16 @@
 
     void start() throws Exception {
         mStore.start();
-        configure();
+        SampleCalls.configure(mStore, 1, "/jobs/");
         for (int i = 0; i < TARGETS; i++) {
             CellTargetStandin target =
                     CellTargetStandin.create(
-                            targetId(i), HOST, LoopbackPorts.next(), "tasks", mStore, mTimer);
+                            targetId(i),
+                            HOST,
+                            LoopbackPorts.next(),
+                            SampleCalls.SERVICE,
+                            mStore,
+                            mTimer);
             target.start();
             mTargets.add(target);
         }
@@ -111,17 +121,6 @@
         mTimer.shutdownNow();
     }
 
-    private void configure() {
-        mStore.put(
-                "keyed.op",
-                "config",
-                "{\"Version\":1,\"Routes\":[{\"Name\":\"jobs\",\"Host\":\"127.0.0.1\","
-                        + "\"PathPrefix\":\"/jobs/\",\"TimeoutMs\":5000,\"TargetDurationMs\":5000,"
-                        + "\"Priority\":0,\"Service\":\"tasks\","
-                        + "\"MaxAttempts\":3,\"Stretch\":1.6}],"
-                        + "\"Services\":[{\"Name\":\"tasks\",\"AdmissionCheck\":false}]}");
-    }
-
     private void startEntryVm(long incarnation) throws Exception {
         String callers = HOST + ":" + LoopbackPorts.next();
         String ini =
@@ -169,10 +168,7 @@
 
     private boolean submit(String address) throws InterruptedException {
         String path = String.format("/jobs/%016x", mNextJob++);
-        String body =
-                "{\"Spec\":\"5\",\"BestEffort\":true,\"Steps\":[{\"Count\":"
-                        + TASKS
-                        + ",\"Cpu\":1000,\"MemMb\":10,\"EstimateMs\":5}]}";
+        String body = SampleCalls.job(TASKS, TASK_MS);
         CompletableFuture<HttpResult> answer = new CompletableFuture<>();
         mHttp.send(HttpCall.post(address, path, body, ANSWER_WITHIN_MS, answer::complete));
         try {
--- a/app/src/test/java/org/boragegap/app/CellPathTest.java
+++ b/app/src/test/java/org/boragegap/app/CellPathTest.java
@@ -20,6 +20,7 @@
 import org.boragegap.entry.Settings;
 import org.boragegap.entry.cell.CellNode;
 import org.boragegap.standin.CellTargetStandin;
+import org.boragegap.standin.SampleCalls;
 import org.boragegap.standin.StoreStandin;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -76,23 +77,7 @@
     }
 
     private void configure(int version, String... prefixes) {
-        List<String> routes = new ArrayList<>();
-        for (String prefix : prefixes) {
-            routes.add(
-                    "{\"Name\":\"r\",\"Host\":\"127.0.0.1\",\"PathPrefix\":\""
-                            + prefix
-                            + "\","
-                            + "\"TimeoutMs\":5000,\"TargetDurationMs\":5000,\"Priority\":0,"
-                            + "\"Service\":\"tasks\",\"MaxAttempts\":3,\"Stretch\":1.6}");
-        }
-        mStore.put(
-                "keyed.op",
-                "config",
-                "{\"Version\":"
-                        + version
-                        + ",\"Routes\":["
-                        + String.join(",", routes)
-                        + "],\"Services\":[{\"Name\":\"tasks\",\"AdmissionCheck\":false}]}");
+        SampleCalls.configure(mStore, version, prefixes);
     }
 
     private void startNode() throws Exception {
@@ -128,12 +113,7 @@
     }
 
     private CompletableFuture<Answer> submitLater(int node, String path, int tasks, String spec) {
-        String body =
-                "{\"Spec\":\""
-                        + spec
-                        + "\",\"BestEffort\":true,\"Steps\":[{\"Count\":"
-                        + tasks
-                        + ",\"Cpu\":1000,\"MemMb\":10,\"EstimateMs\":100}]}";
+        String body = SampleCalls.job(tasks, spec);
         return send(node, path, HttpRequest.BodyPublishers.ofString(body));
     }
 
--- /dev/null
+++ b/standin/src/main/java/org/boragegap/standin/SampleCalls.java
@@ -0,0 +1,66 @@
+package org.boragegap.standin;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.boragegap.platform.PlatformJson;
+import org.boragegap.platform.Topics;
+
+/** What operators and clients of the platform send, for a first look and for tests. */
+public final class SampleCalls {
+    /** Service that runs the tasks of all sample queues. */
+    public static final String SERVICE = "tasks";
+
+    /** Host name of all sample queues. */
+    public static final String HOST = "127.0.0.1";
+
+    private static final int TIMEOUT_MS = 5_000;
+    private static final int AIM_MS = 5_000;
+    private static final int MOST_ATTEMPTS = 3;
+    private static final double STRETCH = 1.6;
+    private static final int TASK_CPU_MILLIS = 1_000;
+    private static final int TASK_MEMORY_MB = 10;
+    private static final int ESTIMATE_MS = 100;
+
+    private SampleCalls() {}
+
+    /** Puts a configuration with a queue for each path prefix into a store. */
+    public static void configure(StoreStandin store, int version, String... prefixes) {
+        ObjectNode configuration = PlatformJson.object().put("Version", version);
+        ArrayNode routes = configuration.putArray("Routes");
+        for (String prefix : prefixes) {
+            routes.addObject()
+                    .put("Name", "r" + prefix)
+                    .put("Host", HOST)
+                    .put("PathPrefix", prefix)
+                    .put("TimeoutMs", TIMEOUT_MS)
+                    .put("TargetDurationMs", AIM_MS)
+                    .put("Priority", 0)
+                    .put("Service", SERVICE)
+                    .put("MaxAttempts", MOST_ATTEMPTS)
+                    .put("Stretch", STRETCH);
+        }
+        configuration
+                .putArray("Services")
+                .addObject()
+                .put("Name", SERVICE)
+                .put("AdmissionCheck", false);
+        store.put(Topics.OPERATORS, Topics.CONFIGURATION_KEY, configuration.toString());
+    }
+
+    /**
+     * Body of a job that need not be stored.
+     *
+     * @param tasks how many tasks it has
+     * @param spec what a target stand-in is to do; a number is the run time in ms
+     */
+    public static String job(int tasks, String spec) {
+        ObjectNode job = PlatformJson.object().put("Spec", spec).put("BestEffort", true);
+        job.putArray("Steps")
+                .addObject()
+                .put("Count", tasks)
+                .put("Cpu", TASK_CPU_MILLIS)
+                .put("MemMb", TASK_MEMORY_MB)
+                .put("EstimateMs", ESTIMATE_MS);
+        return job.toString();
+    }
+}
