--- a/standin/src/main/java/org/boragegap/standin/CellTargetStandin.java
+++ b/standin/src/main/java/org/boragegap/standin/CellTargetStandin.java
@@ -112,7 +112,11 @@
         entry.put("Service", mService);
         entry.put("Address", mAddress);
         entry.put("Zone", "a");
+        entry.put("Version", "v1");
+        entry.put("Slots", 8);
         entry.put("State", state);
+        entry.put("ColdRemainingMs", 0);
+        entry.put("Sequence", 1);
         entry.putObject("Capacity").put("Cpu", 2_000).put("MemMb", 1_000).put("Gpu", 0);
         entry.putArray("Labels").add("a").add("r1-1");
         mStore.put("keyed.servers", mId, entry.toString());
