Read as a newcomer: an unused time out, what a turn counts from, why silence is noticed soon

LeaseCalls kept when the last standing call was sent and nobody read it. Candidacy.turn in two steps, with the reason why steps count from when most miss the controller.

--- a/core/src/main/java/org/boragegap/core/cell/Candidacy.java
+++ b/core/src/main/java/org/boragegap/core/cell/Candidacy.java
@@ -52,7 +52,10 @@
     private final Map<String, Missed> mMissedBy = new HashMap<>();
     private final int mCell;
     private boolean mAsks;
+
+    /** Since when most VMs have missed the controller for long enough; the maximum if not now. */
     private long mMostSinceMs = Long.MAX_VALUE;
+
     private long mToldMs = Long.MIN_VALUE / 2;
     private long mJoinedMs = Long.MIN_VALUE / 2;
 
@@ -88,27 +91,28 @@
     }
 
     /**
-     * Looks whether it is this VM's turn.
+     * Looks whether it is this VM's turn: the first in order asks as soon as most VMs miss the
+     * controller, the others a step later each, counted from then. By the silence alone several
+     * asked at once when the lost VMs had to be dropped from the group before most missed it.
      *
      * @param silentMs for how long no controller was heard of, in ms
      * @param strength how much processor this VM has for the cell
      * @param peers the other VMs in the group
      */
     void turn(long silentMs, String self, int strength, Set<String> peers, long nowMs) {
+        if (silentMs <= MISSED_MS) {
+            mAsks = false;
+        }
         List<String> voters = peers.stream().filter(peer -> missesIt(peer, nowMs)).toList();
         boolean most = 2 * (voters.size() + 1) > peers.size() + 1;
-        long before = voters.stream().filter(peer -> isBefore(peer, self, strength)).count();
-        long steps = Math.min(before, MOST_STEPS);
         if (!most || silentMs <= ASK_MS) {
             mMostSinceMs = Long.MAX_VALUE;
-        } else {
-            mMostSinceMs = Math.min(mMostSinceMs, nowMs);
-        }
-        if (silentMs <= MISSED_MS) {
-            mAsks = false;
+            return;
         }
-        boolean turn = mMostSinceMs != Long.MAX_VALUE && nowMs - mMostSinceMs >= steps * STEP_MS;
-        mAsks |= turn;
+        mMostSinceMs = Math.min(mMostSinceMs, nowMs);
+        long before = voters.stream().filter(peer -> isBefore(peer, self, strength)).count();
+        long steps = Math.min(before, MOST_STEPS);
+        mAsks |= nowMs - mMostSinceMs >= steps * STEP_MS;
     }
 
     /**
--- a/core/src/main/java/org/boragegap/core/cell/EntryDesk.java
+++ b/core/src/main/java/org/boragegap/core/cell/EntryDesk.java
@@ -15,8 +15,9 @@
  */
 public final class EntryDesk {
     /**
-     * Silence of the controller, in ms, after which no more jobs are handed to it; several of its
-     * heartbeats.
+     * Silence of the controller, in ms, after which no more jobs are handed to it; three of its
+     * heartbeats. What is handed to a controller that is lost, or beyond a cut, can't be refused as
+     * not run any more, and ends in doubt when its time is over.
      */
     private static final long SILENCE_MS = 500;
 
--- a/core/src/main/java/org/boragegap/core/cell/LeaseCalls.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseCalls.java
@@ -42,12 +42,10 @@
     private int mOverdueInRow;
     private long mNextMs;
     private long mAnsweredMs;
-    private long mStandingSentMs;
 
     void standingSent(Call call) {
         mUnderWay.put(call.number(), call);
         mStanding = call;
-        mStandingSentMs = call.sentMs();
     }
 
     void lookSent(Call call) {
@@ -81,15 +79,11 @@
         return lost;
     }
 
+    /** When the target last answered any order. */
     long answeredMs() {
         return mAnsweredMs;
     }
 
-    /** When the last standing call was sent. */
-    long standingSentMs() {
-        return mStandingSentMs;
-    }
-
     /** Sends no standing call for a while. */
     void pause(long untilMs) {
         mNextMs = untilMs;
