Read as a newcomer: what each clock of a membership stands for, three guards named

Fields of Membership say which join or heartbeat they stand for; an if in place of a lambda that ignored its argument. A report that was overtaken, a call that was replaced and a term whose end isn't told say why.

--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -168,7 +168,8 @@
             }
             control(new CellEvent.TermEnded());
             if (!mMembership.dealtAway()) {
-                // Told so, another VM asks for the cell at once; one that has it need not.
+                // Told so, another VM asks for the cell at once. Where the group names another
+                // holder already, one more that asks would only make it deal the cell again.
                 sendToAll(new CellMessage.Leaving(term.get()));
             }
             mActions.add(new MemberAction.FollowTargets(false));
@@ -185,6 +186,7 @@
         }
     }
 
+    /** Looks for a controller while none is heard, and asks for the cell when it is its turn. */
     private void search() {
         boolean read = mSearch.look(mController.fence().isPresent(), mClock, mActions);
         if (read && mClock.monotonicMs() - mMembersReadMs >= READ_WHILE_MISSING_MS) {
--- a/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
@@ -185,6 +185,8 @@
         if (inOrder) {
             mRuns.reported(target, report, call.sentMs(), exact);
         } else {
+            // Overtaken by a later report: what it says to have ended has, but a run that it
+            // doesn't list may have begun since, so it proves no absence.
             mRuns.ended(target, report, exact);
         }
         if (first || target.calls().due(mTerm.nowMs())) {
@@ -215,6 +217,7 @@
             return;
         }
         if (event.cause() != OrderResult.UNKNOWN) {
+            // A call without an answer was replaced already, when it was overdue.
             target.calls().pause(mTerm.nowMs() + RETRY_MS);
         }
         if (event.cause() == OrderResult.FENCED) {
--- a/core/src/main/java/org/boragegap/core/cell/Membership.java
+++ b/core/src/main/java/org/boragegap/core/cell/Membership.java
@@ -33,9 +33,16 @@
     private long mGeneration;
     private long mTermsOfGeneration;
     private long mFence;
+
+    /** When the last join was sent that the store has answered, whoever holds the cell. */
     private ClockReading mRenewed;
+
+    /** The same of the last join whose answer named this VM as the holder. */
     private Optional<ClockReading> mHeld = Optional.empty();
+
+    /** The last heartbeat for which most VMs have vouched; its lease runs out by itself. */
     private Optional<ClockReading> mVouched = Optional.empty();
+
     private long mCameMs = -1;
     private long mUnsteadyMs;
     private boolean mResigned;
@@ -117,6 +124,7 @@
         }
     }
 
+    /** Until when the word of the others lets this VM act without the store; 0 for never. */
     private long vouchedUntilMs(ClockReading clock) {
         return mVouched.map(vouched -> leaseEndMs(vouched, clock)).orElse(0L);
     }
@@ -150,7 +158,9 @@
      *     followers that can't join either; empty if there is none
      */
     public void tick(ClockReading clock, Optional<ClockReading> vouched) {
-        vouched.ifPresent(later -> mVouched = vouched);
+        if (vouched.isPresent()) {
+            mVouched = vouched;
+        }
         if (mFence != 0 && clock.monotonicMs() > actsUntilMs(clock)) {
             mFence = 0;
         }
