Values that the platform fills in end no start unless a VM can't serve without them

Ruled out: dropping the check for all settings; operators' own files stay as strict as they were. Change: a file that names the platform's store has its rendered values replaced by a stated stand-in where no promise needs them, a line in the log and in check-config each, counted in a metric; fractions are rounded up where whole numbers are expected; addresses that a VM needs end its start with one line. Test: table of the sheets' values, each varied in ten ways; before the change 1.5 ended the start.

--- a/app/src/main/java/org/boragegap/app/CheckConfigCommand.java
+++ b/app/src/main/java/org/boragegap/app/CheckConfigCommand.java
@@ -35,10 +35,11 @@
         return load(line.getArgList().get(0)) == null ? ExitCode.USAGE : ExitCode.OK;
     }
 
-    /** Reads settings, or prints what is wrong and returns null. */
+    /** Reads settings, or prints what is wrong and returns null; prints what was replaced. */
     static Settings load(String file) {
         Settings.Read read = Settings.read(Path.of(file));
         if (read instanceof Settings.Read.Good good) {
+            good.settings().replaced().forEach(System.err::println);
             return good.settings();
         }
         ((Settings.Read.Bad) read).problems().forEach(System.err::println);
--- a/app/src/main/java/org/boragegap/app/ServeCommand.java
+++ b/app/src/main/java/org/boragegap/app/ServeCommand.java
@@ -67,6 +67,7 @@
 
     private static ExitCode serveCell(String file, Settings settings, long incarnation)
             throws Exception {
+        settings.replaced().forEach(line -> sLog.warn("settings: {}", line));
         HangupSignal.handle(() -> reload(file));
         CellNode node = CellNode.create(settings, incarnation);
         node.start();
--- a/entry/src/main/java/org/boragegap/entry/Setting.java
+++ b/entry/src/main/java/org/boragegap/entry/Setting.java
@@ -155,7 +155,7 @@
     FAR_FACTOR(
             "policy",
             "far_factor",
-            SettingType.of(1, 100),
+            SettingType.decimal(1, 100),
             "",
             "2",
             "how many times longer a task runs away from its data"),
--- a/entry/src/main/java/org/boragegap/entry/Settings.java
+++ b/entry/src/main/java/org/boragegap/entry/Settings.java
@@ -5,23 +5,20 @@
 import java.io.StringReader;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.EnumMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.apache.commons.configuration2.INIConfiguration;
-import org.apache.commons.configuration2.SubnodeConfiguration;
 import org.apache.commons.configuration2.ex.ConfigurationException;
 
 /** Checked settings of an entry process. */
 public final class Settings {
     private final Map<Setting, String> mValues;
+    private final List<String> mReplaced;
 
-    private Settings(Map<Setting, String> values) {
+    private Settings(Map<Setting, String> values, List<String> replaced) {
         mValues = values;
+        mReplaced = replaced;
     }
 
     /** What became of reading settings. */
@@ -59,80 +56,20 @@
         } catch (ConfigurationException | IOException e) {
             return new Read.Bad(List.of(name + ": not an INI file: " + e.getMessage()));
         }
-        List<String> problems = new ArrayList<>();
-        Map<Setting, String> values = new EnumMap<>(Setting.class);
-        for (String section : ini.getSections()) {
-            readSection(name, section, ini.getSection(section), values, problems);
-        }
-        fillIn(name, values, problems);
-        checkTogether(name, values, problems);
-        return problems.isEmpty() ? new Read.Good(new Settings(values)) : new Read.Bad(problems);
-    }
-
-    private static void readSection(
-            String name,
-            String section,
-            SubnodeConfiguration keys,
-            Map<Setting, String> values,
-            List<String> problems) {
-        for (Iterator<String> it = keys.getKeys(); it.hasNext(); ) {
-            String key = it.next();
-            String value = String.valueOf(keys.getProperty(key)).trim();
-            Optional<Setting> setting = Setting.find(section, key.replace("..", "."));
-            if (setting.isEmpty()) {
-                problems.add(name + ": [" + section + "] " + key + ": unknown key");
-            } else if (!setting.get().type().accepts(value)) {
-                problems.add(problem(name, setting.get(), value));
-            } else {
-                values.put(setting.get(), value);
-            }
-        }
-    }
-
-    private static String problem(String name, Setting setting, String value) {
-        return name
-                + ": ["
-                + setting.section()
-                + "] "
-                + setting.key()
-                + " = "
-                + value
-                + ": expected "
-                + setting.type().expected();
+        SettingsReader reader = new SettingsReader(name, ini);
+        reader.read();
+        return reader.problems().isEmpty()
+                ? new Read.Good(new Settings(reader.values(), reader.replaced()))
+                : new Read.Bad(reader.problems());
     }
 
-    private static void fillIn(String name, Map<Setting, String> values, List<String> problems) {
-        for (Setting setting : Setting.values()) {
-            if (values.containsKey(setting)) {
-                continue;
-            }
-            if (setting.fallback().isPresent()) {
-                values.put(setting, setting.fallback().get());
-                continue;
-            }
-            boolean named = problems.stream().anyMatch(p -> p.contains(setting.key() + " = "));
-            if (!named) {
-                problems.add(
-                        name + ": [" + setting.section() + "] " + setting.key() + ": is required");
-            }
-        }
-    }
-
-    private static void checkTogether(
-            String name, Map<Setting, String> values, List<String> problems) {
-        String domain = values.get(Setting.FAILURE_DOMAIN);
-        String domains = values.get(Setting.FAILURE_DOMAINS);
-        if (domain != null && domains != null && !split(domains).contains(domain)) {
-            problems.add(
-                    name
-                            + ": [vm] failure_domain = "
-                            + domain
-                            + ": expected one of [deployment] failure_domains");
-        }
+    static List<String> split(String value) {
+        return Arrays.stream(value.split(",")).map(String::trim).toList();
     }
 
-    private static List<String> split(String value) {
-        return Arrays.stream(value.split(",")).map(String::trim).toList();
+    /** Values of the platform that can't be used and what stands in for them, a line each. */
+    public List<String> replaced() {
+        return mReplaced;
     }
 
     /** A value as text. */
--- a/entry/src/main/java/org/boragegap/entry/cell/CellMetrics.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellMetrics.java
@@ -68,6 +68,11 @@
         mCallersLeft.increment();
     }
 
+    /** Values of the platform that could not be used. */
+    void settingsReplaced(int count) {
+        Gauge.builder("boragegap.settings.replaced", () -> count).register(mRegistry);
+    }
+
     void publish(CellState state, int waiting, long configVersion) {
         mState = state;
         mWaiting = waiting;
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -103,6 +103,7 @@
                         settings.host(Setting.PEER_ADDRESS),
                         settings.port(Setting.PEER_ADDRESS),
                         new Peers());
+        mMetrics.settingsReplaced(settings.replaced().size());
         mThread = new ControlThread(() -> mCells.tick());
         mJobs = new JobApi(new Desk(), mMetrics);
         mLayout = new LayoutKeeper(mStore, mTimer, this::layoutKnown);
@@ -211,7 +212,7 @@
         CellSettings settings =
                 new CellSettings(
                         mSettings.number(Setting.TARGET_LEASE_MS),
-                        mSettings.number(Setting.FAR_FACTOR));
+                        mSettings.decimal(Setting.FAR_FACTOR));
         long leaseMs = mSettings.number(Setting.GROUP_LEASE_MS);
         CellMember member = CellMember.create(mSelf, cell, settings, leaseMs, began);
         return new CellControl(member, new Output(cell));
--- /dev/null
+++ b/entry/src/test/java/org/boragegap/entry/PlatformValuesTest.java
@@ -0,0 +1,152 @@
+package org.boragegap.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Callers of a whole deployment were refused a connection: the platform filled in a factor of 1.5
+ * where a whole number was expected, every VM ended its start with an error, and was started again
+ * to the same end. No promise depends on the factor.
+ */
+final class PlatformValuesTest {
+    private static final String TEMPLATE = "../deploy/entry.ini";
+
+    /** What the platform fills in, as its pages give it for the deployments of today. */
+    private static Map<String, String> sheet(String domain, String cores, String farFactor) {
+        Map<String, String> values = new LinkedHashMap<>();
+        values.put("{{Zone}}", domain);
+        values.put("{{Ip}}", "10.1.0.13");
+        values.put("{{InternalPortRange.0}}", "7720");
+        values.put("{{Listen.Front}}", "10.1.0.13:8161");
+        values.put("{{Listen.Control}}", "10.1.0.13:8166");
+        values.put("{{Listen.Ready}}", "10.1.0.13:8167");
+        values.put("{{Limits.CpuShare}}", "0.36");
+        values.put("{{Limits.Cores}}", cores);
+        values.put("{{#Zones}}{{@}}{{,}}{{/Zones}}", domain + ",elsewhere");
+        values.put("{{platform.Address}}", "10.200.1.7:8169");
+        values.put("{{platform.TtlMinMs}}", "1000");
+        values.put("{{Bounds.HoldMaxMs}}", "1000");
+        values.put("{{Bounds.FarFactor}}", farFactor);
+        return values;
+    }
+
+    private static final List<Map<String, String>> SHEETS =
+            List.of(
+                    sheet("burnaby-a", "1", "3"),
+                    sheet("viti-levu", "1", "2"),
+                    sheet("lisen", "1", "3"),
+                    sheet("coquitlam-a", "2", "1.5"),
+                    sheet("surrey-a", "1.5", "1.25"));
+
+    /** What a value may turn into: absent, of another kind, out of every range, a decimal. */
+    private static final List<String> STRANGE =
+            List.of("", "1.5", "1000.0", "0", "-1", "1e30", "NaN", "null", "[1, 2]", "Größe");
+
+    /** Placeholders without which a VM can't listen, be found, or reach the store. */
+    private static final List<String> NEEDED =
+            List.of(
+                    "{{Ip}}",
+                    "{{InternalPortRange.0}}",
+                    "{{Listen.Front}}",
+                    "{{Listen.Ready}}",
+                    "{{platform.Address}}");
+
+    private static Settings.Read render(Map<String, String> values) throws IOException {
+        String text = Files.readString(Path.of(TEMPLATE));
+        for (Map.Entry<String, String> value : values.entrySet()) {
+            text = text.replace(value.getKey(), value.getValue());
+        }
+        assertThat(text).doesNotContain("{{");
+        return Settings.parse("boot", text);
+    }
+
+    private static Settings good(Map<String, String> values) throws IOException {
+        Settings.Read read = render(values);
+        assertWithMessage("%s: %s", values, read).that(read).isInstanceOf(Settings.Read.Good.class);
+        return ((Settings.Read.Good) read).settings();
+    }
+
+    private static Map<String, String> with(Map<String, String> sheet, String name, String value) {
+        Map<String, String> varied = new LinkedHashMap<>(sheet);
+        varied.put(name, value);
+        return varied;
+    }
+
+    @Nested
+    final class AsTheSheetsHaveThem {
+        @Test
+        void allStartAndNothingIsReplaced() throws IOException {
+            for (Map<String, String> sheet : SHEETS) {
+                assertThat(good(sheet).replaced()).isEmpty();
+            }
+        }
+
+        @Test
+        void aFactorWithAFractionIsTaken() throws IOException {
+            assertThat(good(SHEETS.get(3)).decimal(Setting.FAR_FACTOR)).isEqualTo(1.5);
+        }
+    }
+
+    @Nested
+    final class Strange {
+        @Test
+        void whatNoPromiseNeedsNeverEndsTheStart() throws IOException {
+            for (Map<String, String> sheet : SHEETS) {
+                for (String name : sheet.keySet()) {
+                    for (String value : NEEDED.contains(name) ? List.<String>of() : STRANGE) {
+                        good(with(sheet, name, value));
+                    }
+                }
+            }
+        }
+
+        @Test
+        void whatAVmCannotServeWithoutEndsItWithOneLine() throws IOException {
+            for (String name : NEEDED) {
+                Settings.Read read = render(with(SHEETS.get(0), name, "no address"));
+                List<String> problems = ((Settings.Read.Bad) read).problems();
+                assertWithMessage("%s", problems).that(problems).hasSize(1);
+                assertThat(problems.get(0)).contains("expected host:port");
+            }
+        }
+
+        @Test
+        void aReplacedValueIsNamedWithWhatIsUsed() throws IOException {
+            Settings settings = good(with(SHEETS.get(0), "{{Bounds.FarFactor}}", "-1"));
+            assertThat(settings.replaced())
+                    .containsExactly(
+                            "boot: [policy] far_factor = -1: expected 1.0 to 100.0, uses 2");
+            assertThat(settings.decimal(Setting.FAR_FACTOR)).isEqualTo(2);
+        }
+
+        @Test
+        void aLeaseWithAFractionIsRoundedUp() throws IOException {
+            Settings settings = good(with(SHEETS.get(0), "{{Bounds.HoldMaxMs}}", "999.2"));
+            assertThat(settings.number(Setting.TARGET_LEASE_MS)).isEqualTo(1_000);
+        }
+    }
+
+    @Nested
+    final class OfOperators {
+        @Test
+        void aFileWithoutTheStoreStaysStrict() throws IOException {
+            Map<String, String> values = with(SHEETS.get(0), "{{Bounds.FarFactor}}", "-1");
+            String text = Files.readString(Path.of(TEMPLATE)).replaceAll("(?m)^store = .*$", "");
+            for (Map.Entry<String, String> value : values.entrySet()) {
+                text = text.replace(value.getKey(), value.getValue());
+            }
+            Settings.Read read = Settings.parse("boot", text);
+            assertThat(((Settings.Read.Bad) read).problems())
+                    .containsExactly("boot: [policy] far_factor = -1: expected 1.0 to 100.0");
+        }
+    }
+}
