Longer lease on weak VMs; peers' side and heartbeats in classes of their own

Change: the layout names a least lease of the group, 3 s where the weakest VM that will control a cell has less than 0.3 of a core; a lost controller is replaced two seconds later there. It stands in the layout since what one VM vouches for another counts for a lease, which has to be the same on all. Moved without another change: CellPeers out of CellNode, Heartbeats out of CellMember, the histories' terms, hold-ups and disturbances into files of their own.

--- a/app/src/test/java/org/boragegap/app/EmbeddedCellTest.java
+++ b/app/src/test/java/org/boragegap/app/EmbeddedCellTest.java
@@ -25,7 +25,7 @@
      */
     @Test
     void jobsOfTwoCellsRunOnTheirOwnTargets() throws Exception {
-        CellLayout layout = new CellLayout(2);
+        CellLayout layout = CellLayout.ofCells(2);
         EmbeddedCell deployment = EmbeddedCell.withLayout(layout);
         deployment.start();
         assertThat(deployment.serve(JOBS)).isEqualTo(JOBS);
--- a/core/src/main/java/org/boragegap/core/cell/CellLayout.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellLayout.java
@@ -13,11 +13,13 @@
  *
  * <p>A controller's work grows with its cell, not with the deployment. The number of cells is
  * decided once for a deployment and kept in the store: were it to change, two controllers might
- * take the same target or job for theirs.
+ * take the same target or job for theirs. So is the least lease of the group: what one VM says for
+ * another counts for a lease, which has to be the same on all.
  *
  * @param cells how many there are
+ * @param leastLeaseMs least lease that a VM asks the group for, in ms
  */
-public record CellLayout(int cells) {
+public record CellLayout(int cells, long leastLeaseMs) {
     /**
      * Targets of one cell, about. A controller of 32 targets at 160 jobs/s uses 0.16 of a core;
      * smaller cells pool less: four cells of eight targets served 14% less than one of 32 in a
@@ -32,9 +34,24 @@
      */
     private static final int CPU_MILLIS_PER_TARGET = 7;
 
+    private static final String SEPARATOR = " ";
+
     /** Share of its processor that a VM may use for a cell; the rest is for its own callers. */
     private static final double MOST_OF_CPU = 0.5;
 
+    /**
+     * A controller with less processor than this, in thousandths of a core, needs a longer lease:
+     * on an eighth of a core the first second of load, with code that isn't compiled, held it up
+     * for longer than a lease of a second, and the cell went on to the next one, to the same end.
+     */
+    private static final int SLOW_CPU_MILLIS = 300;
+
+    /** That lease, in ms. A lost controller is replaced two seconds later by it. */
+    private static final long SLOW_LEASE_MS = 3_000;
+
+    /** Longest lease that a layout may name, in ms; far more than any VM is held up. */
+    private static final long MOST_LEASE_MS = 60_000;
+
     /** Most cells; each has a topic in the store, which has room for 100. */
     private static final int MOST_CELLS = 60;
 
@@ -55,7 +72,18 @@
         while (cells < most && !bears(strongestFirst, targets, cells)) {
             cells++;
         }
-        return new CellLayout(cells);
+        return new CellLayout(cells, leastLeaseMs(strongestFirst, cells));
+    }
+
+    private static long leastLeaseMs(List<Integer> strongestFirst, int cells) {
+        int last = Math.min(cells, strongestFirst.size()) - 1;
+        boolean slow = last >= 0 && strongestFirst.get(last) < SLOW_CPU_MILLIS;
+        return slow ? SLOW_LEASE_MS : 0;
+    }
+
+    /** A layout whose VMs need no longer lease than the platform grants at least. */
+    public static CellLayout ofCells(int cells) {
+        return new CellLayout(cells, 0);
     }
 
     /** True when each of the strongest VMs can bear one of so many cells. */
@@ -69,11 +97,13 @@
 
     /** Reads what {@link #text} has written; empty if it can't be read. */
     public static Optional<CellLayout> parse(String text) {
+        String[] parts = text.split(SEPARATOR, 2);
         try {
-            int cells = Integer.parseInt(text);
-            return cells >= 1 && cells <= MOST_CELLS
-                    ? Optional.of(new CellLayout(cells))
-                    : Optional.empty();
+            int cells = Integer.parseInt(parts[0]);
+            long leaseMs = parts.length == 2 ? Long.parseLong(parts[1]) : 0;
+            boolean good = cells >= 1 && cells <= MOST_CELLS;
+            good &= leaseMs >= 0 && leaseMs <= MOST_LEASE_MS;
+            return good ? Optional.of(new CellLayout(cells, leaseMs)) : Optional.empty();
         } catch (NumberFormatException e) {
             return Optional.empty();
         }
@@ -81,7 +111,7 @@
 
     /** The layout as text, for the store. */
     public String text() {
-        return Integer.toString(cells);
+        return leastLeaseMs == 0 ? Integer.toString(cells) : cells + SEPARATOR + leastLeaseMs;
     }
 
     /** Cell of a job. */
--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -13,19 +13,6 @@
  * controller; and what they say to the other entry VMs.
  */
 public final class CellMember {
-    /**
-     * Least time between two heartbeats while a controller waits for answers of the others before
-     * it may start tasks. Each answer may be the one that settles the term, and callers wait for
-     * it.
-     */
-    private static final long LEAST_UNSETTLED_MS = 40;
-
-    /** While it waits, heartbeats come this many times as often. */
-    private static final int UNSETTLED_TIMES = 4;
-
-    /** Being held up for this long, in ms, halves what a VM's processor counts for. */
-    private static final long HALVES_MS = 200;
-
     /** Pause between two reads of the group's members while a term is not settled, in ms. */
     private static final long READ_AGAIN_MS = 100;
 
@@ -34,7 +21,7 @@
 
     private final String mSelf;
     private final HeartbeatPace mPace = new HeartbeatPace();
-    private final Attention mAttention = new Attention();
+    private final Heartbeats mHeartbeats = new Heartbeats();
     private final EntryDesk mDesk = EntryDesk.create(mPace);
     private final CellController mController;
     private final Membership mMembership;
@@ -45,14 +32,9 @@
     private final Predecessors mBefore = new Predecessors();
     private final ControllerSearch mSearch;
     private long mMembersReadMs;
-    private long mBeatMs;
-    private int mCells = 1;
-    private int mCpuMillis = DEFAULT_CPU_MILLIS;
     private ClockReading mClock;
     private List<MemberAction> mActions;
 
-    private static final int DEFAULT_CPU_MILLIS = 1_000;
-
     private CellMember(
             String self, int cell, CellSettings settings, long groupLeaseMs, ClockReading began) {
         mSelf = self;
@@ -82,8 +64,7 @@
      * @param cpuMillis processor of this VM, in thousandths of a core
      */
     public void deployment(int cells, int cpuMillis) {
-        mCells = cells;
-        mCpuMillis = cpuMillis;
+        mHeartbeats.deployment(cells, cpuMillis);
     }
 
     /**
@@ -92,7 +73,7 @@
      * held up by its own work.
      */
     public void strength(int strength) {
-        mSearch.strength((int) (strength * HALVES_MS / (HALVES_MS + mAttention.worstMs())));
+        mSearch.strength(mHeartbeats.strength(strength));
     }
 
     /** What the controller has in hand. */
@@ -283,7 +264,7 @@
 
     private void tick() {
         long nowMs = mClock.monotonicMs();
-        mDesk.heldUp(mAttention.ticked(nowMs), nowMs);
+        mDesk.heldUp(mHeartbeats.ticked(nowMs), nowMs);
         mMembership.tick(mClock, vouched());
         followMembership();
         search();
@@ -293,24 +274,15 @@
             if (!settled && nowMs - mMembersReadMs >= READ_AGAIN_MS) {
                 readMembers();
             }
-            if (nowMs - mBeatMs >= (settled ? periodMs() : unsettledPeriodMs())) {
+            if (mHeartbeats.due(settled, mFollowers.peers().size(), nowMs)) {
                 heartbeat();
             }
         }
         desk(new EntryEvent.Ticked());
     }
 
-    private long periodMs() {
-        int peers = mFollowers.peers().size();
-        return HeartbeatPace.periodMs(mCells, peers, mCpuMillis, mAttention.worstMs());
-    }
-
-    private long unsettledPeriodMs() {
-        return Math.max(LEAST_UNSETTLED_MS, periodMs() / UNSETTLED_TIMES);
-    }
-
     private void heartbeat() {
-        mBeatMs = mClock.monotonicMs();
+        mHeartbeats.sent(mClock.monotonicMs());
         Optional<Long> fence = mController.fence();
         if (fence.isPresent()) {
             sendToAll(leading(fence.get()));
@@ -329,7 +301,8 @@
     }
 
     private CellMessage.Leading leading(long fence) {
-        return new CellMessage.Leading(fence, mClock, periodMs());
+        long periodMs = mHeartbeats.periodMs(mFollowers.peers().size());
+        return new CellMessage.Leading(fence, mClock, periodMs);
     }
 
     /** Since when most others follow this VM without the store, while it hears nothing of it. */
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/cell/Heartbeats.java
@@ -0,0 +1,63 @@
+package org.boragegap.core.cell;
+
+/**
+ * When a controller's next heartbeat is due, by the size of the deployment and its own hold-ups.
+ */
+final class Heartbeats {
+    /**
+     * Least time between two heartbeats while a controller waits for answers of the others before
+     * it may start tasks, in ms. Each answer may be the one that settles the term, and callers wait
+     * for it.
+     */
+    private static final long LEAST_UNSETTLED_MS = 40;
+
+    /** While it waits, heartbeats come this many times as often. */
+    private static final int UNSETTLED_TIMES = 4;
+
+    /** Being held up for this long, in ms, halves what a VM's processor counts for. */
+    private static final long HALVES_MS = 200;
+
+    private static final int DEFAULT_CPU_MILLIS = 1_000;
+
+    private final Attention mAttention = new Attention();
+    private int mCells = 1;
+    private int mCpuMillis = DEFAULT_CPU_MILLIS;
+    private long mSentMs;
+
+    /** See {@link CellMember#deployment}. */
+    void deployment(int cells, int cpuMillis) {
+        mCells = cells;
+        mCpuMillis = cpuMillis;
+    }
+
+    /** Time has passed; returns for how long this VM was held up since the last tick, in ms. */
+    long ticked(long nowMs) {
+        return mAttention.ticked(nowMs);
+    }
+
+    void sent(long nowMs) {
+        mSentMs = nowMs;
+    }
+
+    /**
+     * True when the next one is due.
+     *
+     * @param settled whether all is known that the controller waits for
+     * @param peers how many other VMs there are
+     */
+    boolean due(boolean settled, int peers, long nowMs) {
+        long periodMs = periodMs(peers);
+        long waitMs = settled ? periodMs : Math.max(LEAST_UNSETTLED_MS, periodMs / UNSETTLED_TIMES);
+        return nowMs - mSentMs >= waitMs;
+    }
+
+    /** Time from one to the next, as a settled controller promises it, in ms. */
+    long periodMs(int peers) {
+        return HeartbeatPace.periodMs(mCells, peers, mCpuMillis, mAttention.worstMs());
+    }
+
+    /** What a VM's processor counts for, less the more it is held up by its own work. */
+    int strength(int strength) {
+        return (int) (strength * HALVES_MS / (HALVES_MS + mAttention.worstMs()));
+    }
+}
--- a/core/src/test/java/org/boragegap/core/cell/CellHistoriesProperties.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistoriesProperties.java
@@ -68,7 +68,7 @@
         for (int seed = 1; seed <= AVERAGED; seed++) {
             CellHistory history = new CellHistory(seed);
             assertWithMessage("seed %s", seed).that(history.playSlowVms()).isEmpty();
-            hands += history.changesOfHands();
+            hands += history.terms().changesOfHands();
             finished += history.finished();
         }
         System.out.printf(
@@ -89,8 +89,8 @@
         for (int seed = 1; seed <= AVERAGED; seed++) {
             CellHistory history = new CellHistory(seed);
             assertWithMessage("seed %s", seed).that(history.playRollingRestart()).isEmpty();
-            assertWithMessage("seed %s", seed).that(history.terms()).isAtMost(MOST_TERMS);
-            terms += history.terms();
+            assertWithMessage("seed %s", seed).that(history.terms().count()).isAtMost(MOST_TERMS);
+            terms += history.terms().count();
         }
         System.out.println("rolling restart: terms on average " + (double) terms / AVERAGED);
     }
--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -37,15 +37,10 @@
     private final SimulatedClock mClock = new SimulatedClock();
     private long mNextTicket = 1;
     private int mNextTarget = 1;
-    private int mTerms;
-    private int mChangesOfHands;
-    private String mLastController = "";
+    private final TermCount mTerms = new TermCount();
     private final Consumer<String> mTrace;
     private boolean mStoreDown;
-    private int mLostPercent;
-    private int mLatePercent;
-    private int mHeldPercent;
-    private int mSlowPercent;
+    private final Disturbances mPercent = new Disturbances();
 
     CellHistory(long seed) {
         this(seed, line -> {});
@@ -83,24 +78,10 @@
      */
     List<String> playSlowVms() {
         bringJobs();
-        mVms.forEach(vm -> after(mRandom.nextInt(300), () -> holdUp(vm)));
+        new HoldUps(mClock, mRandom).begin(mVms);
         return run();
     }
 
-    /** Stands still while its clocks go on, as a VM without processor does. */
-    private void holdUp(FakeEntryVm vm) {
-        long forMs = 50 + mRandom.nextInt(mRandom.nextBoolean() ? 650 : 100);
-        vm.mHeldUpUntilMs = mClock.nowMs() + forMs;
-        after(
-                forMs,
-                () -> {
-                    List<Runnable> held = new ArrayList<>(vm.mHeldBack);
-                    vm.mHeldBack.clear();
-                    held.forEach(Runnable::run);
-                    after(10 + mRandom.nextInt(30), () -> holdUp(vm));
-                });
-    }
-
     /** Plays the history and returns what it broke. */
     List<String> play() {
         bringJobs();
@@ -129,13 +110,8 @@
         return mOracle.finished();
     }
 
-    /** How often the cell went from one VM to another. */
-    int changesOfHands() {
-        return mChangesOfHands;
-    }
-
-    /** How many terms began. */
-    int terms() {
+    /** The terms that began. */
+    TermCount terms() {
         return mTerms;
     }
 
@@ -302,7 +278,7 @@
             replied(vm, reply.reply());
         } else if (action instanceof MemberAction.FollowTargets follow) {
             if (follow.follow()) {
-                termBegan(vm);
+                mTerms.began(vm.mAddress);
             }
             vm.mFollowsTargets = follow.follow();
             if (follow.follow() && !mStoreDown && !vm.mStoreCut) {
@@ -317,14 +293,6 @@
         }
     }
 
-    private void termBegan(FakeEntryVm vm) {
-        mTerms++;
-        if (!mLastController.isEmpty() && !mLastController.equals(vm.mAddress)) {
-            mChangesOfHands++;
-        }
-        mLastController = vm.mAddress;
-    }
-
     private void send(FakeEntryVm from, MemberAction.Send send) {
         FakeEntryVm to =
                 mVms.stream().filter(vm -> vm.mAddress.equals(send.address())).findFirst().get();
@@ -332,7 +300,7 @@
         boolean cut = from.mCutFrom.contains(to.mAddress) || to.mCutFrom.contains(from.mAddress);
         if (!cut) {
             MemberEvent event = new MemberEvent.Received(from.mAddress, send.message());
-            long delayMs = chance(mHeldPercent) ? 300 + mRandom.nextLong(1_500) : hop();
+            long delayMs = chance(mPercent.mHeld) ? 300 + mRandom.nextLong(1_500) : hop();
             after(delayMs, () -> feed(to, life, event));
         }
     }
@@ -343,14 +311,14 @@
         TargetInfo info = Orders.target(order);
         FakeTarget target = mTargets.get(info.id());
         boolean cut = vm.mCutFrom.contains(info.id());
-        boolean lost = chance(mLostPercent);
-        boolean late = chance(mLatePercent);
+        boolean lost = chance(mPercent.mLost);
+        boolean late = chance(mPercent.mLate);
         after(300 + Orders.waitMs(order), () -> feedControl(vm, life, Orders.unanswered(order)));
         if (target == null || cut) {
             return;
         }
         long delayMs = late ? 2_000 + mRandom.nextLong(4_000) : hop();
-        long backMs = chance(mSlowPercent) ? 50 + mRandom.nextLong(200) : hop();
+        long backMs = chance(mPercent.mSlow) ? 50 + mRandom.nextLong(200) : hop();
         after(
                 delayMs,
                 () -> {
@@ -422,14 +390,14 @@
             case 3 -> during(forMs, () -> vm.mStoreCut = true, () -> vm.mStoreCut = false);
             case 4 -> during(forMs, () -> cutOff(vm), vm.mCutFrom::clear);
             case 5 -> during(forMs, () -> mStoreDown = true, () -> mStoreDown = false);
-            case 6 -> during(forMs, () -> mLostPercent = 20, () -> mLostPercent = 0);
-            case 7 -> during(forMs, () -> mLatePercent = 10, () -> mLatePercent = 0);
+            case 6 -> during(forMs, () -> mPercent.mLost = 20, () -> mPercent.mLost = 0);
+            case 7 -> during(forMs, () -> mPercent.mLate = 10, () -> mPercent.mLate = 0);
             case 8 -> crashTarget();
             case 9 -> mGroup.deal();
             case 10 -> unlistSome(forMs);
             case 12 -> stopAsPlanned(vm);
-            case 11 -> during(forMs, () -> mHeldPercent = 30, () -> mHeldPercent = 0);
-            case 13 -> during(forMs, () -> mSlowPercent = 40, () -> mSlowPercent = 0);
+            case 11 -> during(forMs, () -> mPercent.mHeld = 30, () -> mPercent.mHeld = 0);
+            case 13 -> during(forMs, () -> mPercent.mSlow = 40, () -> mPercent.mSlow = 0);
             default -> mVms.forEach(each -> kill(each, 300 + mRandom.nextLong(900)));
         }
     }
--- a/core/src/test/java/org/boragegap/core/cell/CellLayoutTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellLayoutTest.java
@@ -15,16 +15,16 @@
     @Test
     void aSmallDeploymentIsOneCell() {
         List<Integer> vms = Collections.nCopies(9, 750);
-        assertThat(CellLayout.forDeployment(1, vms)).isEqualTo(new CellLayout(1));
-        assertThat(CellLayout.forDeployment(33, vms)).isEqualTo(new CellLayout(1));
-        assertThat(CellLayout.forDeployment(50, vms)).isEqualTo(new CellLayout(1));
+        assertThat(CellLayout.forDeployment(1, vms)).isEqualTo(CellLayout.ofCells(1));
+        assertThat(CellLayout.forDeployment(33, vms)).isEqualTo(CellLayout.ofCells(1));
+        assertThat(CellLayout.forDeployment(50, vms)).isEqualTo(CellLayout.ofCells(1));
     }
 
     @Test
     void theSizeToDesignForHasACellForEachFiftyTargets() {
         List<Integer> vms = Collections.nCopies(250, 1_000);
-        assertThat(CellLayout.forDeployment(245, vms)).isEqualTo(new CellLayout(5));
-        assertThat(CellLayout.forDeployment(1_400, vms)).isEqualTo(new CellLayout(28));
+        assertThat(CellLayout.forDeployment(245, vms)).isEqualTo(CellLayout.ofCells(5));
+        assertThat(CellLayout.forDeployment(1_400, vms)).isEqualTo(CellLayout.ofCells(28));
     }
 
     /**
@@ -34,7 +34,24 @@
     @Test
     void weakVmsGetSmallerCells() {
         List<Integer> vms = Collections.nCopies(18, 120);
-        assertThat(CellLayout.forDeployment(85, vms)).isEqualTo(new CellLayout(10));
+        assertThat(CellLayout.forDeployment(85, vms).cells()).isEqualTo(10);
+    }
+
+    /** Their controllers are held up for longer than a lease of a second by their first load. */
+    @Test
+    void weakVmsGetALongerLease() {
+        assertThat(CellLayout.forDeployment(85, Collections.nCopies(18, 120)).leastLeaseMs())
+                .isEqualTo(3_000);
+        List<Integer> someStrong = new ArrayList<>(Collections.nCopies(9, 120));
+        someStrong.add(750);
+        assertThat(CellLayout.forDeployment(33, someStrong).leastLeaseMs()).isEqualTo(0);
+    }
+
+    @Test
+    void aLayoutWithALeaseIsReadAgain() {
+        CellLayout layout = new CellLayout(10, 3_000);
+        assertThat(layout.text()).isEqualTo("10 3000");
+        assertThat(CellLayout.parse("10 3000")).hasValue(layout);
     }
 
     /** Some VMs are strong: they control the cells, and these are as large as they can bear. */
@@ -42,12 +59,12 @@
     void theStrongestVmsCount() {
         List<Integer> vms = new ArrayList<>(Collections.nCopies(32, 360));
         vms.addAll(Collections.nCopies(15, 1_500));
-        assertThat(CellLayout.forDeployment(260, vms)).isEqualTo(new CellLayout(6));
+        assertThat(CellLayout.forDeployment(260, vms)).isEqualTo(CellLayout.ofCells(6));
     }
 
     @Test
     void whenNoVmIsKnownTheTargetsAloneDecide() {
-        assertThat(CellLayout.forDeployment(85, List.of())).isEqualTo(new CellLayout(2));
+        assertThat(CellLayout.forDeployment(85, List.of())).isEqualTo(CellLayout.ofCells(2));
     }
 
     @Property(tries = 200, seed = "1")
@@ -58,7 +75,7 @@
 
     @Test
     void whatIsNoNumberOfCellsIsNotTaken() {
-        for (String text : new String[] {"", "0", "-1", "61", "five"}) {
+        for (String text : new String[] {"", "0", "-1", "61", "five", "5 x", "5 -1", "5 3000 1"}) {
             assertThat(CellLayout.parse(text)).isEmpty();
         }
     }
@@ -66,7 +83,7 @@
     /** Jobs come by random ids; a cell that got many more than the others would refuse them. */
     @Test
     void jobsAreSpreadEvenly() {
-        CellLayout layout = new CellLayout(5);
+        CellLayout layout = CellLayout.ofCells(5);
         int[] counts = new int[5];
         for (int i = 0; i < 10_000; i++) {
             counts[layout.cellOfJob(String.format("%016x", i * 0x9E3779B97F4A7C15L))]++;
--- a/entry/src/main/java/org/boragegap/entry/Settings.java
+++ b/entry/src/main/java/org/boragegap/entry/Settings.java
@@ -13,6 +13,8 @@
 
 /** Checked settings of an entry process. */
 public final class Settings {
+    private static final int MILLIS_PER_CORE = 1_000;
+
     private final Map<Setting, String> mValues;
     private final List<String> mReplaced;
 
@@ -87,6 +89,12 @@
         return Double.parseDouble(mValues.get(setting));
     }
 
+    /** Processor of this VM, in thousandths of a core. */
+    public int cpuMillis() {
+        double cores = decimal(Setting.CORES) * decimal(Setting.CPU_SHARE);
+        return (int) Math.round(cores * MILLIS_PER_CORE);
+    }
+
     /** A value as yes or no. */
     public boolean flag(Setting setting) {
         return Boolean.parseBoolean(mValues.get(setting));
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -36,9 +35,7 @@
 import org.boragegap.platform.StoreClient;
 import org.boragegap.platform.TargetOrders;
 import org.boragegap.platform.Topics;
-import org.boragegap.wire.PeerListener;
 import org.boragegap.wire.PeerMessage;
-import org.boragegap.wire.PeerTransport;
 
 /** One entry process on the users' platform: all its parts, started and stopped together. */
 public final class CellNode {
@@ -47,7 +44,6 @@
     private static final int UNAVAILABLE = 503;
     private static final int SMALL_BODY_BYTES = 4_096;
     private static final long PROBE_EVERY_MS = 250;
-    private static final int MILLIS_PER_CORE = 1_000;
 
     /**
      * How long a read of the configuration may be held back by the store, in ms. A change must be
@@ -77,7 +73,7 @@
     private final HttpCaller mHttp;
     private final StoreClient mStore;
     private final TargetOrders mOrders;
-    private final PeerTransport mPeers;
+    private final CellPeers mPeers;
     private final CellMetrics mMetrics = new CellMetrics();
     private final JobApi mJobs;
     private final LayoutKeeper mLayout;
@@ -86,12 +82,7 @@
     private final TopicFollower mConfig;
     private final TopicFollower mTargets;
     private final ListedTargets mListed = ListedTargets.create();
-    private final Outbox mOutbox = new Outbox(this::send);
     private final List<HttpEndpoint> mEndpoints = new ArrayList<>();
-
-    /** By peer address, the connection on which that VM last sent something. */
-    private final Map<String, Long> mLinkFrom = new ConcurrentHashMap<>();
-
     private final ScheduledExecutorService mTimer = timer();
     private final CountDownLatch mDrained = new CountDownLatch(1);
     private volatile Cells mCells = Cells.none();
@@ -105,12 +96,13 @@
         mStore = StoreClient.create(mHttp, settings.text(Setting.STORE_ADDRESS));
         mOrders = TargetOrders.create(mHttp);
         mPeers =
-                PeerTransport.create(
+                new CellPeers(
                         settings.host(Setting.PEER_ADDRESS),
                         settings.port(Setting.PEER_ADDRESS),
-                        new Peers());
+                        mSelf,
+                        this::received);
         mMetrics.settingsReplaced(settings.replaced().size());
-        mThread = new ControlThread(() -> mCells.tick(), () -> mCells.busy(), mOutbox::flush);
+        mThread = new ControlThread(() -> mCells.tick(), () -> mCells.busy(), mPeers::flush);
         mJobs = new JobApi(new Desk(), mMetrics);
         mGroup =
                 new GroupKeeper(
@@ -118,7 +110,7 @@
                         mTimer,
                         mSelf,
                         incarnation,
-                        cpuMillis(),
+                        settings.cpuMillis(),
                         settings.number(Setting.GROUP_LEASE_MS),
                         () -> mCells.wanted(),
                         this::joined,
@@ -203,7 +195,7 @@
     /** The deployment's layout was read: this VM takes its part in each cell. */
     private void layoutKnown(CellLayout layout) {
         ClockReading began = mBegan;
-        int cpuMillis = cpuMillis();
+        int cpuMillis = mSettings.cpuMillis();
         mThread.post(
                 () -> {
                     mCells =
@@ -211,26 +203,22 @@
                                     layout,
                                     cpuMillis,
                                     began.monotonicMs(),
-                                    cell -> control(cell, layout.cells(), cpuMillis, began));
+                                    cell -> control(cell, layout, cpuMillis, began));
+                    mTimer.execute(() -> mGroup.atLeast(layout.leastLeaseMs()));
                     mTimer.execute(mGroup::start);
                     mTimer.execute(mGroup::join);
                 });
     }
 
-    /** Processor of this VM, in thousandths of a core. */
-    private int cpuMillis() {
-        double cores = mSettings.decimal(Setting.CORES) * mSettings.decimal(Setting.CPU_SHARE);
-        return (int) Math.round(cores * MILLIS_PER_CORE);
-    }
-
-    private CellControl control(int cell, int cells, int cpuMillis, ClockReading began) {
+    private CellControl control(int cell, CellLayout layout, int cpuMillis, ClockReading began) {
         CellSettings settings =
                 new CellSettings(
                         mSettings.number(Setting.TARGET_LEASE_MS),
                         mSettings.decimal(Setting.FAR_FACTOR));
-        long leaseMs = mSettings.number(Setting.GROUP_LEASE_MS);
+        long grantedMs = mSettings.number(Setting.GROUP_LEASE_MS);
+        long leaseMs = Math.max(grantedMs, layout.leastLeaseMs());
         CellMember member = CellMember.create(mSelf, cell, settings, leaseMs, began);
-        member.deployment(cells, cpuMillis);
+        member.deployment(layout.cells(), cpuMillis);
         return new CellControl(member, new Output(cell));
     }
 
@@ -326,44 +314,12 @@
         mTimer.shutdownNow();
     }
 
-    /**
-     * Sends a frame. An answer to a heartbeat goes back over the connection on which that came: the
-     * controller sees by it that the connection works and needs no ping, and this VM none for
-     * another one.
-     */
-    private void send(String address, boolean back, PeerMessage frame) {
-        Long link = back ? mLinkFrom.get(address) : null;
-        if (link == null || !mPeers.answer(link, frame)) {
-            mPeers.send(address, frame);
-        }
+    private void received(List<PeerMessage.Cell> messages) {
+        mThread.post(() -> messages.forEach(this::receivedOne));
     }
 
-    private final class Peers implements PeerListener {
-        @Override
-        public void onMessage(long link, PeerMessage message) {
-            if (message instanceof PeerMessage.Cell cell) {
-                onCells(link, List.of(cell));
-            } else if (message instanceof PeerMessage.Batch batch) {
-                onCells(link, batch.messages());
-            }
-        }
-
-        private void onCells(long link, List<PeerMessage.Cell> messages) {
-            if (link != 0 && !messages.isEmpty()) {
-                mLinkFrom.put(messages.get(0).from(), link);
-            }
-            mThread.post(() -> messages.forEach(this::onCell));
-        }
-
-        private void onCell(PeerMessage.Cell cell) {
-            mCells.on(cell.cell(), new MemberEvent.Received(cell.from(), cell.message()));
-        }
-
-        @Override
-        public void onLost(String address, PeerMessage message, boolean sent) {
-            // Whatever matters is sent again: offers by the desk, the rest by heartbeats.
-            sLog.debug("a message to {} is lost", address);
-        }
+    private void receivedOne(PeerMessage.Cell cell) {
+        mCells.on(cell.cell(), new MemberEvent.Received(cell.from(), cell.message()));
     }
 
     private final class Desk implements JobApi.Desk {
@@ -388,21 +344,18 @@
         private final int mCell;
         private final OrderSender mSender;
 
-        /** The last frame: one message to all peers is one frame, which is encoded once. */
-        private PeerMessage.Cell mFrame = new PeerMessage.Cell("", 0, null);
+        private final CellPeers.Voice mVoice;
 
         private Output(int cell) {
             mCell = cell;
+            mVoice = mPeers.voice(cell);
             mSender =
                     new OrderSender(mOrders, event -> mThread.post(() -> mCells.on(mCell, event)));
         }
 
         @Override
         public void send(String address, CellMessage message) {
-            if (mFrame.message() != message) {
-                mFrame = new PeerMessage.Cell(mSelf, mCell, message);
-            }
-            mOutbox.add(address, message instanceof CellMessage.Following, mFrame);
+            mVoice.say(address, message);
         }
 
         @Override
--- a/entry/src/main/java/org/boragegap/entry/cell/GroupKeeper.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/GroupKeeper.java
@@ -54,7 +54,8 @@
     private final String mAddress;
     private final String mMember;
     private final int mCpuMillis;
-    private final long mLeaseMs;
+    private final long mGrantedMs;
+    private long mLeaseMs;
     private final Supplier<Set<Integer>> mWanted;
     private final Joined mJoined;
     private final Consumer<Set<String>> mPeers;
@@ -94,19 +95,25 @@
         // Another life of this VM is another member: what the earlier one held is dealt anew.
         mMember = address + SEPARATOR + incarnation + SEPARATOR + cpuMillis;
         mCpuMillis = cpuMillis;
+        mGrantedMs = leaseMs;
         mLeaseMs = leaseMs;
         mWanted = wanted;
         mJoined = joined;
         mPeers = peers;
     }
 
+    /** Asks for a longer lease from now on; to be called on the timer's thread. */
+    void atLeast(long leaseMs) {
+        mLeaseMs = Math.max(mGrantedMs, leaseMs);
+    }
+
     /** Joins from now on; to be called on the timer's thread, and again without effect. */
     void start() {
         if (mStarted) {
             return;
         }
         mStarted = true;
-        long everyMs = mLeaseMs / JOINS_PER_LEASE;
+        long everyMs = mGrantedMs / JOINS_PER_LEASE;
         mTimer.scheduleAtFixedRate(this::join, 0, everyMs, TimeUnit.MILLISECONDS);
         mTimer.scheduleWithFixedDelay(
                 this::readMembers, everyMs, MEMBERS_EVERY_MS, TimeUnit.MILLISECONDS);
