--- a/entry/src/main/java/org/boragegap/entry/cell/Cells.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/Cells.java
@@ -97,14 +97,22 @@
     void tick() {
         long nowMs = ControlThread.clock().monotonicMs();
         int youth = nowMs - mBeganMs < YOUNG_MS ? 1 : 0;
-        int wanted = wanted().size();
         for (CellControl control : mControls) {
-            int others = wanted - (control.wantsCell() ? 1 : 0);
-            control.strength(mCpuMillis / (1 + others + youth));
+            // Counted anew for each: one that has just asked for a cell is not the strongest VM for
+            // the next one. Counted once a tick, one weak VM of 18 took three of ten cells.
+            control.strength(mCpuMillis / (1 + wantedBeside(control) + youth));
             control.tick(nowMs);
         }
     }
 
+    private int wantedBeside(CellControl control) {
+        int wanted = 0;
+        for (CellControl other : mControls) {
+            wanted += other != control && other.wantsCell() ? 1 : 0;
+        }
+        return wanted;
+    }
+
     /** True when some cell has something to watch over that can't wait. */
     boolean busy() {
         for (CellControl control : mControls) {
