A controller judges itself by its own period

Cause: found by reading: a weak controller's heartbeats may be 600 ms apart, while its own VM took it for silent after 500 ms, the limit of stronger ones, so that its own callers were not handed to it in between. Change: the period that it states counts for itself too. Test: fails without (no job taken on at 595 ms).

--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -285,7 +285,9 @@
         mHeartbeats.sent(mClock.monotonicMs());
         Optional<Long> fence = mController.fence();
         if (fence.isPresent()) {
-            sendToAll(leading(fence.get()));
+            CellMessage.Leading leading = leading(fence.get());
+            mPace.stated(leading.periodMs());
+            sendToAll(leading);
             desk(new EntryEvent.ControllerHeard(mSelf, fence.get()));
         }
     }
--- a/core/src/test/java/org/boragegap/core/cell/CellMemberTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellMemberTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.boragegap.core.ClockReading;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -240,6 +241,27 @@
             assertThat(said("vm2", CellMessage.Missing.class)).isNotEmpty();
         }
 
+        /**
+         * Callers of a weak controller's own VM were refused every half second: its heartbeats are
+         * 600 ms apart, and it judged itself by the period of stronger ones.
+         */
+        @Test
+        void aControllerIsNotSilentToItselfBetweenItsHeartbeats() {
+            mMember.deployment(10, 40);
+            Set<String> peers = Set.of("vm2", "vm3", "vm4", "vm5", "vm6", "vm7");
+            feed(0, new MemberEvent.Joined(3, true, at(0)));
+            feed(0, new MemberEvent.PeersListed(peers));
+            long fence = mMember.fence().get();
+            peers.forEach(peer -> hears(5, peer, follows(fence, 0)));
+            for (long ms = 10; ms <= 590; ms += 10) {
+                feed(ms, new MemberEvent.Ticked());
+            }
+            EntryEvent job =
+                    new EntryEvent.Submitted(1, FakeJobs.request(new SplittableRandom(1), 1), 900);
+            feed(595, new MemberEvent.ForDesk(job));
+            assertThat(mMember.state().jobs()).isEqualTo(1);
+        }
+
         @Test
         void aControllerAnswersAVmThatMissesIt() {
             join(0, 3, true, "vm2");
