--- a/core/src/main/java/org/boragegap/core/cell/HeartbeatPace.java
+++ b/core/src/main/java/org/boragegap/core/cell/HeartbeatPace.java
@@ -25,6 +25,13 @@
      */
     private static final int MOST_SENT_PER_CORE_S = 250;
 
+    /**
+     * Longest period that a controller states for its hold-ups, in ms. Its loss is noticed two
+     * seconds after then; were it to state the four seconds for which it stood still once, the
+     * callers of its cell would be refused for thirteen when it is lost.
+     */
+    private static final long MOST_FOR_HOLD_UPS_MS = 600;
+
     private static final int MILLIS_PER_CORE = 1_000;
     private static final int MS_PER_S = 1_000;
 
@@ -47,7 +54,8 @@
         long heardMs = (long) cells * MS_PER_S / MOST_HEARD_PER_S;
         long perS = Math.max(1, (long) MOST_SENT_PER_CORE_S * cpuMillis / MILLIS_PER_CORE);
         long sentMs = peers * (long) MS_PER_S / perS;
-        return Math.max(Math.max(LEAST_MS, heldUpMs), Math.max(heardMs, sentMs));
+        long promisedMs = Math.min(heldUpMs, MOST_FOR_HOLD_UPS_MS);
+        return Math.max(Math.max(LEAST_MS, promisedMs), Math.max(heardMs, sentMs));
     }
 
     /** A controller has stated its period. */
--- a/core/src/test/java/org/boragegap/core/cell/HeartbeatPaceTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/HeartbeatPaceTest.java
@@ -47,4 +47,12 @@
     void oneThatIsHeldUpPromisesNoMoreThanItKeeps() {
         assertThat(HeartbeatPace.periodMs(1, 8, USUAL, 430)).isEqualTo(430);
     }
+
+    /** It stood still for four seconds once; when it is lost, callers must not wait for longer. */
+    @Test
+    void aLongHoldUpDoesNotPutOffHowSoonItsLossIsNoticed() {
+        HeartbeatPace pace = new HeartbeatPace();
+        pace.stated(HeartbeatPace.periodMs(1, 8, USUAL, 4_000));
+        assertThat(pace.silentMs()).isEqualTo(2_000);
+    }
 }
--- a/http/src/test/java/org/boragegap/http/HttpEndpointTest.java
+++ b/http/src/test/java/org/boragegap/http/HttpEndpointTest.java
@@ -28,10 +28,7 @@
      */
     @Test
     void aConnectionIsClosedAfterAWholeReplyWhenAskedFor() throws Exception {
-        int port;
-        try (ServerSocket free = new ServerSocket(0)) {
-            port = free.getLocalPort();
-        }
+        int port = freePort();
         HttpEndpoint endpoint =
                 HttpEndpoint.create(
                         "test",
@@ -61,10 +58,7 @@
      */
     @Test
     void whatIsToldWhenACallerLeavesIsForgottenWithTheReply() throws Exception {
-        int port;
-        try (ServerSocket free = new ServerSocket(0)) {
-            port = free.getLocalPort();
-        }
+        int port = freePort();
         List<WeakReference<Object>> kept = Collections.synchronizedList(new ArrayList<>());
         HttpEndpoint endpoint =
                 HttpEndpoint.create(
@@ -94,6 +88,12 @@
         endpoint.stop();
     }
 
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0)) {
+            return free.getLocalPort();
+        }
+    }
+
     private static void readAnswer(InputStream in) throws IOException {
         StringBuilder text = new StringBuilder();
         while (!text.toString().endsWith("{}")) {
