Read as a newcomer: what three constants stand for

Comments only: thirds of a period, what a hold-up of 200 ms is chosen by (not measured), where three times the objective comes from.

--- a/core/src/main/java/org/boragegap/core/cell/CellJob.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellJob.java
@@ -14,7 +14,10 @@
      */
     private static final int RUNS_PER_CONTROLLER = 16;
 
-    /** Up to this many times its objective a late answer is still worth something to a caller. */
+    /**
+     * Up to this many times its objective a late answer is still worth something to a caller; by
+     * the platform's rules.
+     */
     private static final int LATE_TIMES = 3;
 
     private final JobRequest mRequest;
--- a/core/src/main/java/org/boragegap/core/cell/HeartbeatPace.java
+++ b/core/src/main/java/org/boragegap/core/cell/HeartbeatPace.java
@@ -35,9 +35,10 @@
     private static final int MILLIS_PER_CORE = 1_000;
     private static final int MS_PER_S = 1_000;
 
-    /** Silences are counted in periods, as 2 and 10/3: 300 and 500 ms at the shortest period. */
+    /** Silence in periods after which the others are told: 300 ms at the shortest period. */
     private static final long MISSED_PERIODS = 2;
 
+    /** Thirds of a period: three heartbeats and a third, so that one that is late isn't a loss. */
     private static final long SILENT_PERIODS_TIMES_3 = 10;
 
     private long mPeriodMs = LEAST_MS;
--- a/core/src/main/java/org/boragegap/core/cell/Heartbeats.java
+++ b/core/src/main/java/org/boragegap/core/cell/Heartbeats.java
@@ -14,7 +14,10 @@
     /** While it waits, heartbeats come this many times as often. */
     private static final int UNSETTLED_TIMES = 4;
 
-    /** Being held up for this long, in ms, halves what a VM's processor counts for. */
+    /**
+     * Being held up for this long, in ms, halves what a VM's processor counts for. Chosen, not
+     * measured: more than a pause of the garbage collector, less than a silence that counts.
+     */
     private static final long HALVES_MS = 200;
 
     private static final int DEFAULT_CPU_MILLIS = 1_000;
