Ports of tests can't be taken before use; a start that fails leaves nothing running

The test chose ports from the range that the system uses for outgoing connections, let them go and bound them later; the entry VM that had started before it opened connections meanwhile, which could take one. That the log goes on with "the layout can't be read" 200 ms apart after the test's end shows where: the start of an entry VM failed at an address, and what had been started of it went on without end. So two faults, the second one ours: a process in which start() fails kept its clients, its place in the group and its control thread.

Ruled out: the stand-in of the store (its port is bound before any connection is opened), another process on the machine (the leftover entry VM is in the same log).

Change: CellPathTest takes ports below that range (LoopbackPorts, as the embedded cells do); tests of HTTP and frames let the system choose as they begin to listen (port()). CellNode.start stops its parts when one can't start.

Measured: aStartThatFailsLeavesNothingRunning fails without the guard (17 s, threads of the entry VM still there) and passes with it; CellPathTest, HttpEndpointTest, PeerTransportTest passed in one run of each. The collision itself was not made to happen again.

--- a/app/src/test/java/org/boragegap/app/CellPathTest.java
+++ b/app/src/test/java/org/boragegap/app/CellPathTest.java
@@ -1,9 +1,9 @@
 package org.boragegap.app;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -20,6 +21,7 @@
 import org.boragegap.entry.Settings;
 import org.boragegap.entry.cell.CellNode;
 import org.boragegap.standin.CellTargetStandin;
+import org.boragegap.standin.LoopbackPorts;
 import org.boragegap.standin.SampleCalls;
 import org.boragegap.standin.StoreStandin;
 import org.junit.jupiter.api.AfterEach;
@@ -45,13 +47,14 @@
 
     @BeforeEach
     void start() throws Exception {
-        mStorePort = freePort();
+        mStorePort = LoopbackPorts.next();
         mStore = StoreStandin.create(HOST, mStorePort, mTimer);
         mStore.start();
         configure(1, "/jobs/");
         for (int i = 0; i < 2; i++) {
             CellTargetStandin target =
-                    CellTargetStandin.create("t" + i, HOST, freePort(), "tasks", mStore, mTimer);
+                    CellTargetStandin.create(
+                            "t" + i, HOST, LoopbackPorts.next(), "tasks", mStore, mTimer);
             target.start();
             mTargets.add(target);
         }
@@ -70,27 +73,29 @@
         mTimer.shutdownNow();
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
     private void configure(int version, String... prefixes) {
         SampleCalls.configure(mStore, version, prefixes);
     }
 
     private void startNode() throws Exception {
-        int callers = freePort();
-        int metrics = freePort();
+        int callers = LoopbackPorts.next();
+        int metrics = LoopbackPorts.next();
+        CellNode node = newNode(callers, metrics);
+        node.start();
+        mNodes.add(node);
+        mCallerPorts.add(callers);
+        mMetricsPorts.add(metrics);
+    }
+
+    private CellNode newNode(int callers, int metrics) throws Exception {
         String ini =
                 String.join(
                         "\n",
                         "[vm]",
                         "failure_domain = a",
-                        "peer_address = " + HOST + ":" + freePort(),
+                        "peer_address = " + HOST + ":" + LoopbackPorts.next(),
                         "caller_address = " + HOST + ":" + callers,
-                        "operator_address = " + HOST + ":" + freePort(),
+                        "operator_address = " + HOST + ":" + LoopbackPorts.next(),
                         "metrics_address = " + HOST + ":" + metrics,
                         "[deployment]",
                         "failure_domains = a",
@@ -99,11 +104,15 @@
                         "vm_list = " + HOST + ":" + mStorePort,
                         "store = " + HOST + ":" + mStorePort);
         Settings settings = ((Settings.Read.Good) Settings.parse("test.ini", ini)).settings();
-        CellNode node = CellNode.create(settings, mNodes.size() + 1);
-        node.start();
-        mNodes.add(node);
-        mCallerPorts.add(callers);
-        mMetricsPorts.add(metrics);
+        return CellNode.create(settings, mNodes.size() + 1);
+    }
+
+    /** Threads of entry processes that decide or call others, on their own account. */
+    private static long ownThreads() {
+        Set<String> names = Set.of("control", "timer", "http-sweeper");
+        return Thread.getAllStackTraces().keySet().stream()
+                .filter(thread -> names.contains(thread.getName()))
+                .count();
     }
 
     private record Answer(int status, String body) {}
@@ -293,6 +302,19 @@
             assertThat(served).isAtLeast(asked * 9 / 10);
         }
 
+        /**
+         * An address of a process is taken when it starts. The start fails with that error, and
+         * nothing of the process goes on: its clients at the store went on for good once, and this
+         * VM could have been dealt a cell that no caller reaches.
+         */
+        @Test
+        void aStartThatFailsLeavesNothingRunning() throws Exception {
+            long before = ownThreads();
+            CellNode node = newNode(LoopbackPorts.next(), mMetricsPorts.get(0));
+            assertThrows(IOException.class, node::start);
+            await(() -> ownThreads() <= before);
+        }
+
         /** The store forgets its history; a configuration that comes after it is in force. */
         @Test
         void aForgottenHistoryIsReadAnew() throws Exception {
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -164,8 +164,20 @@
         return thread;
     }
 
-    /** Starts all parts. */
+    /**
+     * Starts all parts, or none: were one left running when an address is taken, this VM would go
+     * on in the group, and could be dealt a cell, without callers.
+     */
     public void start() throws IOException {
+        try {
+            startParts();
+        } catch (IOException e) {
+            stop();
+            throw e;
+        }
+    }
+
+    private void startParts() throws IOException {
         mHttp.start();
         mPeers.start();
         mThread.start();
--- a/http/src/main/java/org/boragegap/http/HttpEndpoint.java
+++ b/http/src/main/java/org/boragegap/http/HttpEndpoint.java
@@ -32,11 +32,12 @@
     private static final int BUFFER_BYTES = 8 * 1024;
 
     private final HttpServer mServer = new HttpServer();
+    private final NetworkListener mListener;
 
     private HttpEndpoint(String name, String host, int port, int mostBytes, Handler handler) {
-        NetworkListener listener = new NetworkListener(name, host, port);
-        listener.setMaxHttpHeaderSize(MOST_HEADER_BYTES);
-        TCPNIOTransport transport = listener.getTransport();
+        mListener = new NetworkListener(name, host, port);
+        mListener.setMaxHttpHeaderSize(MOST_HEADER_BYTES);
+        TCPNIOTransport transport = mListener.getTransport();
         transport.setIOStrategy(SameThreadIOStrategy.getInstance());
         transport.setSelectorRunnersCount(SELECTORS);
         transport.setKernelThreadPoolConfig(
@@ -45,7 +46,7 @@
                         .setCorePoolSize(SELECTORS)
                         .setMaxPoolSize(SELECTORS));
         transport.setTcpNoDelay(true);
-        mServer.addListener(listener);
+        mServer.addListener(mListener);
         mServer.getServerConfiguration().addHttpHandler(new WholeBodies(mostBytes, handler), "/");
         mServer.getServerConfiguration().setJmxEnabled(false);
     }
@@ -58,7 +59,7 @@
      *
      * @param name used for its threads
      * @param host address to listen on
-     * @param port port to listen on
+     * @param port port to listen on; 0 lets the system choose one
      * @param mostBytes largest body that is taken
      * @param handler takes each request; must not block
      */
@@ -72,6 +73,11 @@
         mServer.start();
     }
 
+    /** Port that it listens on once it is started. */
+    public int port() {
+        return mListener.getPort();
+    }
+
     /** Stops listening, and closes connections when what they carry is out or time is over. */
     public void drain(long boundMs) {
         try {
--- a/http/src/test/java/org/boragegap/http/HttpEndpointTest.java
+++ b/http/src/test/java/org/boragegap/http/HttpEndpointTest.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.lang.ref.WeakReference;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -17,6 +16,10 @@
 final class HttpEndpointTest {
     private static final String HOST = "127.0.0.1";
     private static final int BODY_BYTES = 1_024;
+
+    /** The system chooses one as the endpoint begins to listen, so that none can take it before. */
+    private static final int ANY_PORT = 0;
+
     private static final int PATIENCE_MS = 10_000;
     private static final int REQUESTS = 50;
     private static final byte[] REQUEST =
@@ -28,19 +31,18 @@
      */
     @Test
     void aConnectionIsClosedAfterAWholeReplyWhenAskedFor() throws Exception {
-        int port = freePort();
         HttpEndpoint endpoint =
                 HttpEndpoint.create(
                         "test",
                         HOST,
-                        port,
+                        ANY_PORT,
                         BODY_BYTES,
                         in -> {
                             in.closeAfterReply();
                             in.reply(200, "{}");
                         });
         endpoint.start();
-        try (Socket socket = new Socket(HOST, port)) {
+        try (Socket socket = new Socket(HOST, endpoint.port())) {
             socket.setSoTimeout(PATIENCE_MS);
             socket.getOutputStream().write(REQUEST);
             InputStream in = socket.getInputStream();
@@ -58,13 +60,12 @@
      */
     @Test
     void whatIsToldWhenACallerLeavesIsForgottenWithTheReply() throws Exception {
-        int port = freePort();
         List<WeakReference<Object>> kept = Collections.synchronizedList(new ArrayList<>());
         HttpEndpoint endpoint =
                 HttpEndpoint.create(
                         "test",
                         HOST,
-                        port,
+                        ANY_PORT,
                         BODY_BYTES,
                         in -> {
                             Object told = new Object();
@@ -73,7 +74,7 @@
                             in.reply(200, "{}");
                         });
         endpoint.start();
-        try (Socket socket = new Socket(HOST, port)) {
+        try (Socket socket = new Socket(HOST, endpoint.port())) {
             socket.setSoTimeout(PATIENCE_MS);
             for (int i = 0; i < REQUESTS; i++) {
                 socket.getOutputStream().write(REQUEST);
@@ -88,12 +89,6 @@
         endpoint.stop();
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket free = new ServerSocket(0)) {
-            return free.getLocalPort();
-        }
-    }
-
     private static void readAnswer(InputStream in) throws IOException {
         StringBuilder text = new StringBuilder();
         while (!text.toString().endsWith("{}")) {
--- a/wire/src/main/java/org/boragegap/wire/PeerTransport.java
+++ b/wire/src/main/java/org/boragegap/wire/PeerTransport.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -32,6 +33,7 @@
 
     private final String mBindHost;
     private final int mBindPort;
+    private int mPort;
     private final PeerListener mListener;
     private final TCPNIOTransport mTransport;
     private final Map<String, PeerLink> mLinks = new ConcurrentHashMap<>();
@@ -62,17 +64,23 @@
                         .build();
     }
 
-    /** Makes a transport that will listen at the given address. */
+    /** Makes a transport that will listen at the given address; port 0 lets the system choose. */
     public static PeerTransport create(String host, int port, PeerListener listener) {
         return new PeerTransport(host, port, listener);
     }
 
     /** Starts listening. */
     public void start() throws IOException {
-        mTransport.bind(mBindHost, mBindPort);
+        SocketAddress bound = mTransport.bind(mBindHost, mBindPort).getLocalAddress();
+        mPort = ((InetSocketAddress) bound).getPort();
         mTransport.start();
     }
 
+    /** Port that it listens on once it is started. */
+    int port() {
+        return mPort;
+    }
+
     /** Closes all connections. */
     public void stop() {
         try {
--- a/wire/src/test/java/org/boragegap/wire/PeerTransportTest.java
+++ b/wire/src/test/java/org/boragegap/wire/PeerTransportTest.java
@@ -28,6 +28,10 @@
 /** Connections among entry VMs, over real sockets. */
 final class PeerTransportTest {
     private static final String HOST = "127.0.0.1";
+
+    /** The system chooses one as the listening begins, so that none can take it before. */
+    private static final int ANY_PORT = 0;
+
     private static final long PATIENCE_S = 10;
 
     private final BlockingQueue<PeerMessage> mReceived = new LinkedBlockingQueue<>();
@@ -54,11 +58,10 @@
 
     @BeforeEach
     void start() throws IOException {
-        int port = freePort();
-        mAddress = HOST + ":" + port;
-        mServer = PeerTransport.create(HOST, port, new Listener());
+        mServer = PeerTransport.create(HOST, ANY_PORT, new Listener());
         mServer.start();
-        mClient = PeerTransport.create(HOST, freePort(), new Listener());
+        mAddress = HOST + ":" + mServer.port();
+        mClient = PeerTransport.create(HOST, ANY_PORT, new Listener());
         mClient.start();
     }
 
@@ -68,7 +71,7 @@
         mServer.stop();
     }
 
-    private static int freePort() throws IOException {
+    private static int closedPort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
             return socket.getLocalPort();
         }
@@ -99,7 +102,7 @@
 
         @Test
         void whatCannotBeSentIsReportedAsUnsent() throws Exception {
-            mClient.send(HOST + ":" + freePort(), forward(6));
+            mClient.send(HOST + ":" + closedPort(), forward(6));
             assertThat(mLost.poll(PATIENCE_S, TimeUnit.SECONDS)).isFalse();
         }
     }
@@ -156,7 +159,7 @@
         @Test
         void aConnectionWithoutAnythingUnansweredIsNotPinged() throws Exception {
             try (ServerSocket peer = new ServerSocket(0, 8, InetAddress.getByName(HOST))) {
-                PeerTransport client = PeerTransport.create(HOST, freePort(), new Listener());
+                PeerTransport client = PeerTransport.create(HOST, ANY_PORT, new Listener());
                 client.start();
                 client.send(HOST + ":" + peer.getLocalPort(), forward(6));
                 Socket socket = peer.accept();
