What makes a VM unsteady is judged by the times of its joins, as before

Ruled out: that the rule needs the longer time; joins are sent each 250 ms however slow their answers are.

Change: the gap is half a lease again, by both clocks; only what is told to controllers goes by the round trip.

--- a/core/src/main/java/org/boragegap/core/cell/Membership.java
+++ b/core/src/main/java/org/boragegap/core/cell/Membership.java
@@ -109,8 +109,12 @@
             mTermsOfGeneration = 0;
         }
         mGeneration = generation;
-        // A controller may go on after half a lease without the store; see storeSilent.
-        boolean missed = sent.wallMs() - mRenewed.wallMs() > mLeaseMs / 2 || storeSilent(sent);
+        // A controller may go on after half a lease without the store; see storeSilent. A slow
+        // store makes no difference here: joins are sent as often.
+        long unsureMs = mLeaseMs / 2;
+        boolean missed =
+                sent.wallMs() - mRenewed.wallMs() > unsureMs
+                        || sent.monotonicMs() - mRenewed.monotonicMs() > unsureMs;
         if (mCameMs >= 0 && missed) {
             mUnsteadyMs = sent.monotonicMs();
         }
