--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -27,15 +27,9 @@
     private static final long LIST_MS = 400;
     private static final long BUDGET_MS = 2_500;
     private static final long SERVE_ON_MOST_MS = 1_500;
-    private static final long SLOW_FROM_MS = 1_500;
-    private static final long SLOW_UNTIL_MS = 9_000;
-
-    /**
-     * Longest way to the slow store or back, in ms; the store is 85 times as slow as usual then.
-     */
-    private static final int SLOW_WAY_MS = 170;
 
     private final SplittableRandom mRandom;
+    private final Hops mHops;
     private final CellOracle mOracle = new CellOracle();
     private final FakeGroup mGroup;
     private final List<FakeEntryVm> mVms = new ArrayList<>();
@@ -47,7 +41,6 @@
     private final TermCount mTerms = new TermCount();
     private final Consumer<String> mTrace;
     private boolean mStoreDown;
-    private boolean mStoreSlow;
     private final Disturbances mPercent = new Disturbances();
 
     CellHistory(long seed) {
@@ -58,6 +51,7 @@
     CellHistory(long seed, Consumer<String> trace) {
         mTrace = trace;
         mRandom = new SplittableRandom(seed);
+        mHops = new Hops(mRandom);
         mGroup = new FakeGroup(mRandom.split());
         for (int i = 0; i < TARGETS; i++) {
             addTarget();
@@ -71,8 +65,7 @@
 
     /** Plays the usual failures while the store takes up to 340 ms for each answer. */
     List<String> playSlowStore() {
-        after(SLOW_FROM_MS, () -> mStoreSlow = true);
-        after(SLOW_UNTIL_MS, () -> mStoreSlow = false);
+        mHops.slowStore(mClock);
         return play();
     }
 
@@ -134,10 +127,6 @@
         mClock.after(delayMs, action);
     }
 
-    private long hop() {
-        return 1 + mRandom.nextInt(mRandom.nextInt(20) == 0 ? 60 : 4);
-    }
-
     private boolean chance(int percent) {
         return mRandom.nextInt(100) < percent;
     }
@@ -146,11 +135,7 @@
 
     private void addTarget() {
         String id = "t" + mNextTarget++;
-        int room = 2 * TASK_CPU;
-        TargetInfo info =
-                new TargetInfo(id, id, "service", "domain", room, 100, 0, Set.of(), false, false);
-        double rate = 0.985 + mRandom.nextDouble() * 0.015;
-        mTargets.put(id, new FakeTarget(info, rate, TASK_CPU, mOracle));
+        mTargets.put(id, FakeTarget.drawn(id, mRandom, TASK_CPU, mOracle));
     }
 
     private void targetsStep() {
@@ -167,13 +152,8 @@
         vm.mStoodStillMs = 0;
         vm.mHeldBack.clear();
         vm.mCallers.clear();
-        vm.mMember =
-                CellMember.create(
-                        vm.mAddress,
-                        0,
-                        SETTINGS,
-                        FakeGroup.LEASE_MS,
-                        new ClockReading(mClock.nowMs(), mClock.nowMs()));
+        ClockReading began = clock(vm);
+        vm.mMember = CellMember.create(vm.mAddress, 0, SETTINGS, FakeGroup.LEASE_MS, began);
         int life = vm.mLife;
         tick(vm, life);
         join(vm, life, true);
@@ -226,15 +206,11 @@
                     if (!mStoreDown && !vm.mStoreCut) {
                         ClockReading sent = clock(vm);
                         boolean asks = vm.mMember.wantsCell();
-                        after(storeHop(), () -> joinAtStore(vm, life, asks, sent));
+                        after(mHops.storeHop(), () -> joinAtStore(vm, life, asks, sent));
                     }
                 });
     }
 
-    private long storeHop() {
-        return mStoreSlow ? SLOW_WAY_MS / 2 + mRandom.nextInt(SLOW_WAY_MS / 2) : hop();
-    }
-
     private void joinAtStore(FakeEntryVm vm, int life, boolean asks, ClockReading sent) {
         FakeGroup.Answer answer =
                 mGroup.join(
@@ -242,7 +218,7 @@
         Set<String> peers = new HashSet<>(answer.addresses());
         peers.remove(vm.mAddress);
         after(
-                storeHop(),
+                mHops.storeHop(),
                 () -> {
                     feed(vm, life, new MemberEvent.PeersListed(peers));
                     feed(
@@ -257,11 +233,13 @@
             return;
         }
         after(
-                storeHop(),
+                mHops.storeHop(),
                 () -> {
                     Set<String> peers = mGroup.addresses(mClock.nowMs());
                     peers.remove(vm.mAddress);
-                    after(storeHop(), () -> feed(vm, life, new MemberEvent.PeersListed(peers)));
+                    after(
+                            mHops.storeHop(),
+                            () -> feed(vm, life, new MemberEvent.PeersListed(peers)));
                 });
     }
 
@@ -272,7 +250,7 @@
                 () -> {
                     after(LIST_MS, () -> list(vm, life));
                     if (!mStoreDown && !vm.mStoreCut && vm.mFollowsTargets) {
-                        after(hop(), () -> feedList(vm, life));
+                        after(mHops.hop(), () -> feedList(vm, life));
                     }
                 });
     }
@@ -301,7 +279,7 @@
             }
             vm.mFollowsTargets = follow.follow();
             if (follow.follow() && !mStoreDown && !vm.mStoreCut) {
-                after(2 * hop(), () -> feedList(vm, life));
+                after(2 * mHops.hop(), () -> feedList(vm, life));
             }
         } else if (action instanceof MemberAction.ReadMembers) {
             readMembers(vm, life);
@@ -319,7 +297,7 @@
         boolean cut = from.mCutFrom.contains(to.mAddress) || to.mCutFrom.contains(from.mAddress);
         if (!cut) {
             MemberEvent event = new MemberEvent.Received(from.mAddress, send.message());
-            long delayMs = chance(mPercent.mHeld) ? 300 + mRandom.nextLong(1_500) : hop();
+            long delayMs = chance(mPercent.mHeld) ? 300 + mRandom.nextLong(1_500) : mHops.hop();
             after(delayMs, () -> feed(to, life, event));
         }
     }
@@ -336,8 +314,8 @@
         if (target == null || cut) {
             return;
         }
-        long delayMs = late ? 2_000 + mRandom.nextLong(4_000) : hop();
-        long backMs = chance(mPercent.mSlow) ? 50 + mRandom.nextLong(200) : hop();
+        long delayMs = late ? 2_000 + mRandom.nextLong(4_000) : mHops.hop();
+        long backMs = chance(mPercent.mSlow) ? 50 + mRandom.nextLong(200) : mHops.hop();
         after(
                 delayMs,
                 () -> {
--- a/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
 /** A target that starts whatever it is told to, as the platform's protocol has it. */
@@ -56,6 +58,15 @@
         mOracle = oracle;
     }
 
+    /** A target for two tasks whose clock is up to 1.5% slow. */
+    static FakeTarget drawn(String id, SplittableRandom random, int taskCpu, CellOracle oracle) {
+        int room = 2 * taskCpu;
+        TargetInfo info =
+                new TargetInfo(id, id, "service", "domain", room, 100, 0, Set.of(), false, false);
+        double rate = 0.985 + random.nextDouble() * 0.015;
+        return new FakeTarget(info, rate, taskCpu, oracle);
+    }
+
     TargetInfo info() {
         return mInfo;
     }
