--- a/core/src/main/java/org/boragegap/core/cell/Admission.java
+++ b/core/src/main/java/org/boragegap/core/cell/Admission.java
@@ -68,6 +68,7 @@
         double slots = 0;
         for (Target target : mTerm.targets().values()) {
             boolean usable = target.reported() && !target.lost() && !target.info().draining();
+            usable &= mTerm.evacuations().allow(target.info());
             if (usable && !target.avoided()) {
                 slots += Math.floor(target.info().cpuMillis() / Math.max(1, cpuMillis));
             }
--- a/core/src/main/java/org/boragegap/core/cell/CellAction.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellAction.java
@@ -61,6 +61,14 @@
      */
     record TellTargets(List<TargetInfo> targets) implements CellAction {}
 
+    /**
+     * Tell all entry VMs that targets have crashed under a task, so that a next controller knows.
+     *
+     * @param task the task
+     * @param crashes how many targets by now
+     */
+    record TellCrash(TaskName task, int crashes) implements CellAction {}
+
     /** Another controller has taken over: this VM must find out who. */
     record Deposed() implements CellAction {}
 
--- a/core/src/main/java/org/boragegap/core/cell/CellController.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -26,6 +26,8 @@
 
     private final CellSettings mSettings;
     private final RunTimes mTimes = new RunTimes();
+    private final Evacuations mEvacuations = new Evacuations();
+    private final CrashAccount mCrashes = new CrashAccount();
     private Term mTerm;
     private LeaseKeeper mLeases;
     private RunLedger mRuns;
@@ -58,6 +60,11 @@
         return mTerm == null || !mSettled && !mTerm.hasSeenRuns();
     }
 
+    /** True when it knows which failure domains operators want emptied. */
+    boolean knowsEvacuations() {
+        return mEvacuations.known();
+    }
+
     /** What it has in hand. */
     public CellState state() {
         if (mTerm == null) {
@@ -67,7 +74,7 @@
         int open = 0;
         for (Target target : mTerm.targets().values()) {
             runs += target.runs().size();
-            open += target.open(mTerm.nowMs()) ? 1 : 0;
+            open += mTerm.takesWork(target) ? 1 : 0;
         }
         return new CellState(
                 mTerm.fence(), mTerm.targets().size(), open, mTerm.jobs().size(), runs);
@@ -88,6 +95,10 @@
             begin(began, clock, actions);
         } else if (event instanceof CellEvent.TermEnded) {
             end(actions);
+        } else if (event instanceof CellEvent.DomainsEvacuated evacuated) {
+            evacuate(evacuated, actions);
+        } else if (event instanceof CellEvent.CrashTold told) {
+            mCrashes.told(told.task(), told.crashes(), clock.monotonicMs());
         }
         if (mTerm == null) {
             return;
@@ -100,14 +111,16 @@
 
     private void begin(CellEvent.TermBegan began, ClockReading clock, List<CellAction> actions) {
         long fence = began.fence();
-        mTerm = new Term(fence, clock.monotonicMs());
+        mTerm = new Term(fence, clock.monotonicMs(), mEvacuations, mCrashes);
         mTerm.at(clock.monotonicMs(), actions);
         mTerm.actsUntil(mActsUntilMs);
+        CrashWatch crashes = new CrashWatch(mTerm);
         mRuns = new RunLedger(mTerm, mTimes);
-        mLeases = new LeaseKeeper(mTerm, mRuns);
+        mLeases = new LeaseKeeper(mTerm, mRuns, crashes);
         mPlacement = new Placement(mTerm, mSettings);
-        mJobs = new JobBook(mTerm, mPlacement, new Admission(mTerm, mTimes), mRuns);
+        mJobs = new JobBook(mTerm, mPlacement, new Admission(mTerm, mTimes), mRuns, crashes);
         mRuns.connect(mJobs, mLeases);
+        crashes.connect(mJobs);
         mSettled = false;
         mPredecessorsKnown = false;
         mPredecessorsOver = false;
@@ -126,9 +139,21 @@
         mTerm = null;
     }
 
+    private void evacuate(CellEvent.DomainsEvacuated event, List<CellAction> actions) {
+        String before = mEvacuations.toString();
+        if (mEvacuations.told(event.domains()) && mTerm != null) {
+            String inputs = "domains=" + mEvacuations + " before=" + before;
+            Decision decision = Decision.self("evacuate", inputs, "starts nothing there");
+            actions.add(new CellAction.Log(decision));
+        }
+    }
+
     private void handle(CellEvent event) {
         if (event instanceof CellEvent.TargetsListed listed) {
             mLeases.listed(listed.targets());
+            mJobs.refuseImpossible();
+        } else if (event instanceof CellEvent.DomainsEvacuated) {
+            mJobs.refuseImpossible();
         } else if (event instanceof CellEvent.Offered offered) {
             mJobs.offered(offered);
         } else if (event instanceof CellEvent.Withdrawn withdrawn) {
--- a/core/src/main/java/org/boragegap/core/cell/CellEvent.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /** What a controller learns. */
 public sealed interface CellEvent {
@@ -32,6 +33,21 @@
      */
     record TargetsListed(List<TargetInfo> targets) implements CellEvent {}
 
+    /**
+     * Failure domains that operators want emptied; told also to a VM that controls nothing.
+     *
+     * @param domains all of them; empty for none
+     */
+    record DomainsEvacuated(Set<String> domains) implements CellEvent {}
+
+    /**
+     * Another controller has seen targets crash under a task.
+     *
+     * @param task the task
+     * @param crashes how many targets
+     */
+    record CrashTold(TaskName task, int crashes) implements CellEvent {}
+
     /**
      * A job that a caller waits for at an entry VM; may come again.
      *
--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -205,7 +205,9 @@
 
     /** Looks for a controller while none is heard, and asks for the cell when it is its turn. */
     private void search() {
-        boolean read = mSearch.look(mController.fence().isPresent(), mClock, mActions);
+        boolean controls = mController.fence().isPresent();
+        boolean able = mController.knowsEvacuations();
+        boolean read = mSearch.look(controls, able, mClock, mActions);
         if (read && mClock.monotonicMs() - mMembersReadMs >= READ_WHILE_MISSING_MS) {
             readMembers();
         }
@@ -335,6 +337,8 @@
             missing(from, missing);
         } else if (message instanceof CellMessage.Targets targets) {
             mTargets.told(targets);
+        } else if (message instanceof CellMessage.Crashed crashed) {
+            control(new CellEvent.CrashTold(crashed.task(), crashed.crashes()));
         } else if (message instanceof CellMessage.Following following) {
             following(from, following);
         }
@@ -441,6 +445,8 @@
                     new CellMessage.Decided(answer.job(), answer.number(), answer.verdict()));
         } else if (action instanceof CellAction.TellTargets told) {
             tellTargets(told.targets());
+        } else if (action instanceof CellAction.TellCrash crash) {
+            sendToAll(new CellMessage.Crashed(crash.task(), crash.crashes()));
         } else if (action instanceof CellAction.Deposed) {
             deposed(mDesk.fence());
         } else if (action instanceof CellAction.Log log) {
--- a/core/src/main/java/org/boragegap/core/cell/CellMessage.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMessage.java
@@ -76,6 +76,14 @@
         }
     }
 
+    /**
+     * Controller to all: targets have crashed under a task, which counts for later terms too.
+     *
+     * @param task the task
+     * @param crashes how many targets by now
+     */
+    record Crashed(TaskName task, int crashes) implements CellMessage {}
+
     /**
      * Answer to {@link Leading}.
      *
--- a/core/src/main/java/org/boragegap/core/cell/ControllerSearch.java
+++ b/core/src/main/java/org/boragegap/core/cell/ControllerSearch.java
@@ -64,9 +64,10 @@
      * dropped from the group, so it gets no heartbeats, while the controller is well in reach.
      *
      * @param controls whether this VM controls the cell
+     * @param able whether it knows all that a controller has to know
      * @return true when the members of the group should be read
      */
-    boolean look(boolean controls, ClockReading clock, List<MemberAction> actions) {
+    boolean look(boolean controls, boolean able, ClockReading clock, List<MemberAction> actions) {
         if (controls || mMembership.resigned()) {
             mCandidacy.withdraw();
             return false;
@@ -79,7 +80,7 @@
             tellAll(actions);
         }
         boolean asked = mCandidacy.asks();
-        if (cutOff || mMembership.justCame(clock)) {
+        if (cutOff || !able || mMembership.justCame(clock)) {
             mCandidacy.withdraw();
         } else {
             mCandidacy.turn(silentMs, mSelf, mStrength, mFollowers.peers(), nowMs);
--- a/core/src/main/java/org/boragegap/core/cell/JobBook.java
+++ b/core/src/main/java/org/boragegap/core/cell/JobBook.java
@@ -6,6 +6,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 
 /** Takes jobs on, and tells the entry VMs how they ended. */
@@ -25,6 +27,9 @@
      */
     private static final long REFUSAL_KEEP_MS = 10_000;
 
+    /** Reason of a refusal. */
+    private static final String IMPOSSIBLE = "no target can hold it";
+
     private record Kept(Verdict verdict, long atMs) {}
 
     private record Waiter(String entry, String job) {}
@@ -35,14 +40,21 @@
     private final Placement mPlacement;
     private final Admission mAdmission;
     private final RunLedger mRuns;
+    private final CrashWatch mCrashes;
     private final Map<String, Kept> mVerdicts = new LinkedHashMap<>();
     private final Map<Waiter, Refusal> mRefusals = new LinkedHashMap<>();
 
-    JobBook(Term term, Placement placement, Admission admission, RunLedger runs) {
+    JobBook(
+            Term term,
+            Placement placement,
+            Admission admission,
+            RunLedger runs,
+            CrashWatch crashes) {
         mTerm = term;
         mPlacement = placement;
         mAdmission = admission;
         mRuns = runs;
+        mCrashes = crashes;
     }
 
     void offered(CellEvent.Offered offer) {
@@ -85,8 +97,13 @@
                         objectiveMs,
                         longestMs,
                         offer.controllers());
-        if (mTerm.areTargetsListed() && !mPlacement.possible(request)) {
-            refuse(offer.entry(), offer.number(), job, "no target can hold it", 0);
+        Optional<Verdict> failure = mCrashes.verdictOn(job);
+        if (failure.isPresent()) {
+            answer(offer.entry(), job.id(), offer.number(), failure.get());
+            return;
+        }
+        if (impossible(job)) {
+            refuse(offer.entry(), offer.number(), job, IMPOSSIBLE, 0);
             return;
         }
         long waitMs = mAdmission.waitMs(job);
@@ -118,6 +135,10 @@
         mRuns.adopt(job);
     }
 
+    private boolean impossible(CellJob job) {
+        return mTerm.areTargetsKnown() && !mPlacement.possible(job.request());
+    }
+
     private void refuse(String entry, long number, CellJob job, String reason, long waitMs) {
         Verdict verdict =
                 job.mayHaveStarted()
@@ -147,18 +168,29 @@
      * back, and was not told whether its job had run.
      */
     private void refuseUseless() {
-        List<CellJob> useless = new ArrayList<>();
+        refuseWaiting(job -> mTerm.nowMs() > job.lastUsefulStartMs(), "waited too long");
+    }
+
+    /**
+     * Refuses waiting jobs that no target can hold any more, now that targets have gone, have less
+     * room, or are in a failure domain that is to be emptied.
+     */
+    void refuseImpossible() {
+        refuseWaiting(this::impossible, IMPOSSIBLE);
+    }
+
+    private void refuseWaiting(Predicate<CellJob> hopeless, String reason) {
+        List<CellJob> refused = new ArrayList<>();
         for (CellJob job : mTerm.waiting()) {
             boolean wanted = !job.entries().isEmpty() && !job.mayHaveStarted();
-            if (wanted && mTerm.nowMs() > job.lastUsefulStartMs()) {
-                useless.add(job);
+            if (wanted && hopeless.test(job)) {
+                refused.add(job);
             }
         }
-        for (CellJob job : useless) {
+        for (CellJob job : refused) {
             mTerm.jobs().remove(job.id());
             mTerm.waiting().remove(job);
-            job.entries()
-                    .forEach((entry, number) -> refuse(entry, number, job, "waited too long", 0));
+            job.entries().forEach((entry, number) -> refuse(entry, number, job, reason, 0));
         }
     }
 
--- a/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
@@ -56,12 +56,14 @@
 
     private final Term mTerm;
     private final RunLedger mRuns;
+    private final CrashWatch mCrashes;
     private long mNextCall = 1;
     private List<TargetInfo> mAnnounced = List.of();
 
-    LeaseKeeper(Term term, RunLedger runs) {
+    LeaseKeeper(Term term, RunLedger runs, CrashWatch crashes) {
         mTerm = term;
         mRuns = runs;
+        mCrashes = crashes;
     }
 
     /**
@@ -87,6 +89,7 @@
                 long openMs = mTerm.nowMs() + ANNOUNCE_MS;
                 Target target = new Target(info, openMs, earlierLeaseEndMs());
                 mTerm.targets().put(info.id(), target);
+                mCrashes.appeared(info);
                 call(target);
             } else {
                 noteDraining(known, info);
@@ -158,10 +161,15 @@
         return Math.max(LEAST_WAIT_MS, Math.min(WAIT_MS, endMs - mTerm.nowMs() + LEAST_WAIT_MS));
     }
 
+    /**
+     * Sends a lease call. One to a silent target extends nothing: each call may have reached it, so
+     * with each that did extend, the lease of a target that had crashed was never over, and its
+     * tasks started nowhere else until it was back.
+     */
     private LeaseCalls.Call send(Target target, long waitMs) {
         long call = mNextCall++;
         long untilMs = 0;
-        if (target.reported()) {
+        if (target.reported() && !target.calls().silent()) {
             untilMs = target.leaseUntil(mTerm.nowMs(), LEASE_MS, mTerm.actsUntilMs());
             target.leaseSent(untilMs);
         }
@@ -188,6 +196,7 @@
         boolean first = !target.reported();
         if (first || target.lost()) {
             mTerm.log(Decision.target("target", target.id(), "report=yes", "in use"));
+            mCrashes.heardOf(target);
         }
         if (call.waitMs() == 0) {
             target.roundTrips().add(mTerm.nowMs() - call.sentMs());
@@ -236,8 +245,10 @@
         if (event.cause() == OrderResult.FENCED) {
             mTerm.act(new CellAction.Deposed());
         } else if (event.cause() == OrderResult.OTHER_INCARNATION) {
+            List<TaskName> tasks = List.copyOf(target.runs().keySet());
             mRuns.allOver(target, "another incarnation");
             mTerm.targets().remove(target.id());
+            mCrashes.replaced(target.info(), tasks);
         }
     }
 
@@ -250,6 +261,7 @@
                                 target.id(),
                                 "silent_ms=" + (mTerm.nowMs() - target.calls().answeredMs()),
                                 "its runs start elsewhere"));
+                mCrashes.lapsed(target);
                 mRuns.allOver(target, "lease over");
             }
             boolean gone = target.unlistedFor(mTerm.nowMs(), UNLISTED_GRACE_MS);
--- a/core/src/main/java/org/boragegap/core/cell/Placement.java
+++ b/core/src/main/java/org/boragegap/core/cell/Placement.java
@@ -38,7 +38,7 @@
     int largestRoomCpu() {
         int largest = -1;
         for (Target target : mTerm.targets().values()) {
-            if (target.freeCpu() > largest && target.open(mTerm.nowMs())) {
+            if (target.freeCpu() > largest && mTerm.takesWork(target)) {
                 largest = target.freeCpu();
             }
         }
@@ -47,16 +47,26 @@
 
     private boolean allowed(CellTask task, Target target) {
         StepRequest step = task.step();
-        if (!target.fits(step) || !target.open(mTerm.nowMs())) {
+        if (!target.fits(step) || !mTerm.takesWork(target)) {
             return false;
         }
-        if (!serves(task.job().request(), step, target)) {
+        if (!serves(task.job().request(), step, target) || !keepsApart(task, target)) {
             return false;
         }
         return step.mostPerTarget() == 0
                 || target.runsOf(task.name().job(), task.name().step()) < step.mostPerTarget();
     }
 
+    /**
+     * A task under which a target has crashed runs alone: were it the cause, the next crash would
+     * take others' tasks with it, and they would be suspected in their turn.
+     */
+    private boolean keepsApart(CellTask task, Target target) {
+        CrashAccount crashes = mTerm.crashes();
+        boolean apart = !target.busy() || !crashes.suspects(task.name());
+        return apart && !crashes.suspectsAny(target.runs().keySet());
+    }
+
     private static boolean serves(JobRequest request, StepRequest step, Target target) {
         return target.info().service().equals(request.service()) && target.couldHold(step);
     }
@@ -68,17 +78,19 @@
         return far ? target.speed() / mFarFactor : target.speed();
     }
 
-    /** True when some listed target could run each step of the job. */
+    /** True when for each step of the job some listed target could run its tasks. */
     boolean possible(JobRequest request) {
-        for (StepRequest step : request.steps()) {
-            boolean any =
-                    mTerm.targets().values().stream()
-                            .anyMatch(target -> serves(request, step, target));
-            if (!any) {
-                return false;
+        return request.steps().stream().allMatch(step -> possible(request, step));
+    }
+
+    private boolean possible(JobRequest request, StepRequest step) {
+        for (Target target : mTerm.targets().values()) {
+            boolean allowed = mTerm.evacuations().allow(target.info());
+            if (allowed && serves(request, step, target)) {
+                return true;
             }
         }
-        return true;
+        return false;
     }
 
     /** True when a target is free for a task of this job's first step. */
--- a/core/src/main/java/org/boragegap/core/cell/Term.java
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -17,6 +17,8 @@
 
     private final long mFence;
     private final long mSinceMs;
+    private final Evacuations mEvacuations;
+    private final CrashAccount mCrashes;
     private final Map<String, Target> mTargets = new LinkedHashMap<>();
     private final Map<String, CellJob> mJobs = new HashMap<>();
     private final TreeSet<CellJob> mWaiting =
@@ -31,9 +33,11 @@
     private long mActsUntilMs;
     private List<CellAction> mActions;
 
-    Term(long fence, long nowMs) {
+    Term(long fence, long nowMs, Evacuations evacuations, CrashAccount crashes) {
         mFence = fence;
         mSinceMs = nowMs;
+        mEvacuations = evacuations;
+        mCrashes = crashes;
     }
 
     /** Sets the clock and the list of actions for the event that is handled now. */
@@ -80,8 +84,24 @@
         mTargetsListed = true;
     }
 
-    boolean areTargetsListed() {
-        return mTargetsListed;
+    /** True when it is known which targets there are, and which of them may be given work. */
+    boolean areTargetsKnown() {
+        return mTargetsListed && mEvacuations.known();
+    }
+
+    /** Which domains operators want emptied. */
+    Evacuations evacuations() {
+        return mEvacuations;
+    }
+
+    /** True when the target can take work now, and operators don't want its domain emptied. */
+    boolean takesWork(Target target) {
+        return target.open(mNowMs) && mEvacuations.allow(target.info());
+    }
+
+    /** Targets that have crashed, by task. */
+    CrashAccount crashes() {
+        return mCrashes;
     }
 
     Map<String, CellJob> jobs() {
--- a/core/src/test/java/org/boragegap/core/cell/CellControllerTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellControllerTest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.boragegap.core.ClockReading;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** What a controller takes on and refuses. */
@@ -21,6 +22,11 @@
     private final List<CellAction> mActions = new ArrayList<>();
     private long mOffer = 1;
 
+    @BeforeEach
+    void operatorsWantNothingEmptied() {
+        on(0, new CellEvent.DomainsEvacuated(Set.of()));
+    }
+
     private void on(long ms, CellEvent event) {
         mController.on(event, new ClockReading(ms, ms), mActions);
     }
--- a/core/src/test/java/org/boragegap/core/cell/CellHistoriesProperties.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistoriesProperties.java
@@ -38,6 +38,24 @@
         assertWithMessage("seed %s", seed).that(history.playSlowStore()).isEmpty();
     }
 
+    /**
+     * Operators empty failure domains and take them back, and targets' room shrinks and grows,
+     * while everything else goes wrong: nothing is started in an emptied domain from the platform's
+     * bound on, and no target gets more than the room that counts.
+     */
+    @Property(tries = 2_000, seed = "13")
+    void evacuationsAndRoomsAreHeeded(@ForAll long seed) {
+        CellHistory history = new CellHistory(seed);
+        assertWithMessage("seed %s", seed).that(history.playEvacuationsAndRooms()).isEmpty();
+    }
+
+    /** On a calm day an evacuation is heeded within 300 ms of the store's confirmation. */
+    @Property(tries = 300, seed = "14")
+    void evacuationsAreHeededSoonOnACalmDay(@ForAll long seed) {
+        CellHistory history = new CellHistory(seed);
+        assertWithMessage("seed %s", seed).that(history.playCalmEvacuations()).isEmpty();
+    }
+
     /**
      * Seeds that once broke a promise, each by a cause of its own: a refusal by a later term of the
      * same VM; a job handed in again beside a run on a target out of reach, twice; a VM that had
--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -1,10 +1,7 @@
 package org.boragegap.core.cell;
 
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -15,16 +12,18 @@
  * again, and failures at random moments. Everything runs on one simulated clock.
  */
 final class CellHistory {
-    static final int TASK_CPU = 1_000;
     static final long RESEND_MS = 1_300;
     private static final CellSettings SETTINGS = new CellSettings(FakeTarget.LEASE_MOST_MS, 2);
     private static final int VMS = 4;
-    private static final int TARGETS = 5;
     private static final long LENGTH_MS = 14_000;
     private static final long FAULTS_UNTIL_MS = 10_000;
     private static final long JOIN_MS = 250;
     private static final long TICK_MS = 25;
     private static final long LIST_MS = 400;
+    private static final long MEMBERS_MS = 3_000;
+    private static final long OPERATORS_MS = 50;
+    private static final long EVACUATE_MS = 5_000;
+    private static final long EVACUATE_AIM_MS = 300;
     private static final long BUDGET_MS = 2_500;
     private static final long SERVE_ON_MOST_MS = 1_500;
 
@@ -33,11 +32,10 @@
     private final CellOracle mOracle = new CellOracle();
     private final FakeGroup mGroup;
     private final List<FakeEntryVm> mVms = new ArrayList<>();
-    private final Map<String, FakeTarget> mTargets = new HashMap<>();
-    private final Set<String> mUnlisted = new HashSet<>();
     private final SimulatedClock mClock = new SimulatedClock();
+    private final FakePlatform mPlatform;
+    private final OrderWays mOrders;
     private long mNextTicket = 1;
-    private int mNextTarget = 1;
     private final TermCount mTerms = new TermCount();
     private final Consumer<String> mTrace;
     private boolean mStoreDown;
@@ -53,9 +51,8 @@
         mRandom = new SplittableRandom(seed);
         mHops = new Hops(mRandom);
         mGroup = new FakeGroup(mRandom.split());
-        for (int i = 0; i < TARGETS; i++) {
-            addTarget();
-        }
+        mPlatform = new FakePlatform(mClock, mRandom, mOracle);
+        mOrders = new OrderWays(mClock, mRandom, mHops, mPercent, mPlatform, mOracle);
         for (int i = 0; i < VMS; i++) {
             FakeEntryVm vm = new FakeEntryVm("vm" + i);
             mVms.add(vm);
@@ -90,6 +87,54 @@
         return run();
     }
 
+    /**
+     * Plays the usual failures while operators empty domains and take them back, and targets' room
+     * shrinks and grows.
+     */
+    List<String> playEvacuationsAndRooms() {
+        mOracle.evacuateWithin(EVACUATE_MS);
+        for (int i = 0; i < 3; i++) {
+            long forMs = EVACUATE_MS + mRandom.nextLong(3_000);
+            after(500 + mRandom.nextLong(4_000), () -> mPlatform.evacuateOne(forMs));
+            after(1_000 + mRandom.nextLong(8_000), mPlatform::resizeSome);
+        }
+        return play();
+    }
+
+    /** Plays evacuations on an otherwise calm day; they are to be heeded soon. */
+    List<String> playCalmEvacuations() {
+        mOracle.evacuateWithin(EVACUATE_AIM_MS);
+        for (int i = 0; i < 3; i++) {
+            long forMs = 1_000 + mRandom.nextLong(3_000);
+            after(1_500 + mRandom.nextLong(7_000), () -> mPlatform.evacuateOne(forMs));
+        }
+        bringJobs();
+        return run();
+    }
+
+    /**
+     * Plays a day on which VMs other than the controller are away for so long that nobody counts
+     * them any more, and start again while the store takes up to 340 ms for each answer and deals
+     * the cell anew now and then.
+     */
+    List<String> playNewcomersOfASlowStore() {
+        mHops.slowStore(mClock);
+        for (FakeEntryVm vm : mVms) {
+            after(1_600 + mRandom.nextLong(900), () -> takeFollowerAway(vm));
+        }
+        for (int i = 0; i < 3; i++) {
+            after(2_000 + mRandom.nextLong(6_000), mGroup::deal);
+        }
+        bringJobs();
+        return run();
+    }
+
+    private void takeFollowerAway(FakeEntryVm vm) {
+        if (vm.mMember.fence().isEmpty()) {
+            kill(vm, MEMBERS_MS + 2 * FakeGroup.LEASE_MS + mRandom.nextLong(1_000));
+        }
+    }
+
     /** Plays the history and returns what it broke. */
     List<String> play() {
         bringJobs();
@@ -101,7 +146,7 @@
     }
 
     private void bringJobs() {
-        after(5, this::targetsStep);
+        after(5, mPlatform::begin);
         for (long at = 1_500; at < FAULTS_UNTIL_MS; at += 30 + mRandom.nextInt(90)) {
             int job = (int) at;
             after(at, () -> submit(FakeJobs.request(mRandom, job)));
@@ -131,18 +176,6 @@
         return mRandom.nextInt(100) < percent;
     }
 
-    // Targets
-
-    private void addTarget() {
-        String id = "t" + mNextTarget++;
-        mTargets.put(id, FakeTarget.drawn(id, mRandom, TASK_CPU, mOracle));
-    }
-
-    private void targetsStep() {
-        mTargets.values().forEach(target -> target.at(mClock.nowMs()));
-        after(5, this::targetsStep);
-    }
-
     // Entry VMs
 
     private void start(FakeEntryVm vm) {
@@ -152,28 +185,23 @@
         vm.mStoodStillMs = 0;
         vm.mHeldBack.clear();
         vm.mCallers.clear();
+        vm.mToldEvacuated = null;
         ClockReading began = clock(vm);
         vm.mMember = CellMember.create(vm.mAddress, 0, SETTINGS, FakeGroup.LEASE_MS, began);
         int life = vm.mLife;
         tick(vm, life);
         join(vm, life, true);
+        after(JOIN_MS, () -> members(vm, life));
         list(vm, life);
+        operators(vm, life);
     }
 
     private ClockReading clock(FakeEntryVm vm) {
-        return new ClockReading(mClock.nowMs() - vm.mStoodStillMs, mClock.nowMs());
+        return vm.clock(mClock.nowMs());
     }
 
-    /** Runs something on a VM in this life of it; a frozen one does it when it wakes. */
     private void on(FakeEntryVm vm, int life, Runnable action) {
-        if (!vm.mAlive || vm.mLife != life) {
-            return;
-        }
-        if (mClock.nowMs() < Math.max(vm.mFrozenUntilMs, vm.mHeldUpUntilMs)) {
-            vm.mHeldBack.add(() -> on(vm, life, action));
-            return;
-        }
-        action.run();
+        vm.inLife(life, mClock, action);
     }
 
     private void feed(FakeEntryVm vm, int life, MemberEvent event) {
@@ -182,7 +210,11 @@
                 life,
                 () -> {
                     List<MemberAction> actions = new ArrayList<>();
+                    boolean asked = vm.mMember.wantsCell();
                     vm.mMember.on(event, clock(vm), actions);
+                    if (!asked && vm.mMember.wantsCell()) {
+                        mTerms.asked(mClock.nowMs());
+                    }
                     actions.forEach(action -> run(vm, action));
                 });
     }
@@ -215,16 +247,39 @@
         FakeGroup.Answer answer =
                 mGroup.join(
                         vm.mAddress + "/" + life, asks, vm.mMember.generation(), mClock.nowMs());
-        Set<String> peers = new HashSet<>(answer.addresses());
-        peers.remove(vm.mAddress);
+        MemberEvent joined = new MemberEvent.Joined(answer.generation(), answer.holds(), sent);
+        after(mHops.storeHop(), () -> feed(vm, life, joined));
+    }
+
+    private void members(FakeEntryVm vm, int life) {
+        on(
+                vm,
+                life,
+                () -> {
+                    after(MEMBERS_MS, () -> members(vm, life));
+                    readMembers(vm, life);
+                });
+    }
+
+    /** Follows what operators write, one read at a time. */
+    private void operators(FakeEntryVm vm, int life) {
+        boolean read = !mStoreDown && !vm.mStoreCut;
+        on(vm, life, () -> after(mHops.storeHop(), () -> operatorsRead(vm, life, read)));
+    }
+
+    private void operatorsRead(FakeEntryVm vm, int life, boolean read) {
+        Set<String> domains = mPlatform.evacuated();
+        if (!read || domains.equals(vm.mToldEvacuated)) {
+            after(OPERATORS_MS, () -> operators(vm, life));
+            return;
+        }
+        vm.mToldEvacuated = domains;
+        CellEvent event = new CellEvent.DomainsEvacuated(domains);
         after(
                 mHops.storeHop(),
                 () -> {
-                    feed(vm, life, new MemberEvent.PeersListed(peers));
-                    feed(
-                            vm,
-                            life,
-                            new MemberEvent.Joined(answer.generation(), answer.holds(), sent));
+                    feedControl(vm, life, event);
+                    operators(vm, life);
                 });
     }
 
@@ -256,13 +311,7 @@
     }
 
     private void feedList(FakeEntryVm vm, int life) {
-        List<TargetInfo> infos = new ArrayList<>();
-        for (FakeTarget target : mTargets.values()) {
-            if (target.alive() && !mUnlisted.contains(target.info().id())) {
-                infos.add(target.info());
-            }
-        }
-        feed(vm, life, new MemberEvent.ForController(new CellEvent.TargetsListed(infos)));
+        feedControl(vm, life, new CellEvent.TargetsListed(mPlatform.listed()));
     }
 
     private void run(FakeEntryVm vm, MemberAction action) {
@@ -305,47 +354,15 @@
     // Orders
 
     private void order(FakeEntryVm vm, int life, CellAction order) {
-        TargetInfo info = Orders.target(order);
-        FakeTarget target = mTargets.get(info.id());
-        boolean cut = vm.mCutFrom.contains(info.id());
-        boolean lost = chance(mPercent.mLost);
-        boolean late = chance(mPercent.mLate);
-        after(300 + Orders.waitMs(order), () -> feedControl(vm, life, Orders.unanswered(order)));
-        if (target == null || cut) {
-            return;
-        }
-        long delayMs = late ? 2_000 + mRandom.nextLong(4_000) : mHops.hop();
-        long backMs = chance(mPercent.mSlow) ? 50 + mRandom.nextLong(200) : mHops.hop();
-        after(
-                delayMs,
-                () -> {
-                    if (target.alive()) {
-                        execute(
-                                target,
-                                order,
-                                event -> {
-                                    if (!lost && !late && !vm.mCutFrom.contains(info.id())) {
-                                        after(backMs, () -> feedControl(vm, life, event));
-                                    }
-                                });
-                    }
-                });
+        mOrders.send(order, () -> isCut(vm, order), event -> feedControl(vm, life, event));
     }
 
-    private void feedControl(FakeEntryVm vm, int life, CellEvent event) {
-        feed(vm, life, new MemberEvent.ForController(event));
+    private static boolean isCut(FakeEntryVm vm, CellAction order) {
+        return vm.mCutFrom.contains(Orders.target(order).id());
     }
 
-    private void execute(FakeTarget target, CellAction order, Consumer<CellEvent> reply) {
-        target.at(mClock.nowMs());
-        if (order instanceof CellAction.ExtendLease extend) {
-            target.extend(extend, reply);
-        } else if (order instanceof CellAction.StartRun start) {
-            long takesMs = mRandom.nextInt(6) == 0 ? 1_500 : 30 + mRandom.nextInt(300);
-            target.start(start, takesMs, chance(2), reply);
-        } else {
-            target.stop((CellAction.StopRun) order, reply);
-        }
+    private void feedControl(FakeEntryVm vm, int life, CellEvent event) {
+        feed(vm, life, new MemberEvent.ForController(event));
     }
 
     // Callers
@@ -383,15 +400,15 @@
         mTrace.accept(mClock.nowMs() + " failure " + kind + " of " + vm.mAddress + " for " + forMs);
         switch (kind) {
             case 0, 1 -> kill(vm, 300 + mRandom.nextLong(1_500));
-            case 2 -> freeze(vm, forMs);
+            case 2 -> vm.freeze(mClock, forMs);
             case 3 -> during(forMs, () -> vm.mStoreCut = true, () -> vm.mStoreCut = false);
             case 4 -> during(forMs, () -> cutOff(vm), vm.mCutFrom::clear);
             case 5 -> during(forMs, () -> mStoreDown = true, () -> mStoreDown = false);
             case 6 -> during(forMs, () -> mPercent.mLost = 20, () -> mPercent.mLost = 0);
             case 7 -> during(forMs, () -> mPercent.mLate = 10, () -> mPercent.mLate = 0);
-            case 8 -> crashTarget();
+            case 8 -> mPlatform.crashOne();
             case 9 -> mGroup.deal();
-            case 10 -> unlistSome(forMs);
+            case 10 -> mPlatform.unlistSome(forMs);
             case 12 -> stopAsPlanned(vm);
             case 11 -> during(forMs, () -> mPercent.mHeld = 30, () -> mPercent.mHeld = 0);
             case 13 -> during(forMs, () -> mPercent.mSlow = 40, () -> mPercent.mSlow = 0);
@@ -446,26 +463,6 @@
                 });
     }
 
-    /** Stands still: its steady clock doesn't count the time, and what comes in waits. */
-    private void freeze(FakeEntryVm vm, long forMs) {
-        if (!vm.mAlive || mClock.nowMs() < vm.mFrozenUntilMs) {
-            return;
-        }
-        vm.mFrozenUntilMs = mClock.nowMs() + forMs;
-        int life = vm.mLife;
-        after(
-                forMs,
-                () -> {
-                    vm.mFrozenUntilMs = 0;
-                    if (vm.mAlive && vm.mLife == life) {
-                        vm.mStoodStillMs += forMs;
-                        List<Runnable> held = new ArrayList<>(vm.mHeldBack);
-                        vm.mHeldBack.clear();
-                        held.forEach(Runnable::run);
-                    }
-                });
-    }
-
     private void cutOff(FakeEntryVm vm) {
         boolean all = mRandom.nextBoolean();
         mVms.forEach(
@@ -474,24 +471,6 @@
                         vm.mCutFrom.add(other.mAddress);
                     }
                 });
-        mTargets.keySet().stream()
-                .sorted()
-                .filter(id -> mRandom.nextBoolean())
-                .forEach(vm.mCutFrom::add);
-    }
-
-    private void crashTarget() {
-        List<String> ids = mTargets.keySet().stream().sorted().toList();
-        FakeTarget target = mTargets.get(ids.get(mRandom.nextInt(ids.size())));
-        if (target.alive()) {
-            target.crash();
-            after(500, this::addTarget);
-        }
-    }
-
-    private void unlistSome(long forMs) {
-        List<String> ids = mTargets.keySet().stream().sorted().filter(id -> chance(40)).toList();
-        mUnlisted.addAll(ids);
-        after(forMs, () -> mUnlisted.removeAll(ids));
+        vm.mCutFrom.addAll(mPlatform.drawHalf());
     }
 }
--- a/core/src/test/java/org/boragegap/core/cell/CellMemberTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellMemberTest.java
@@ -32,6 +32,7 @@
     }
 
     private void join(long ms, long generation, boolean holds, String... peers) {
+        feed(ms, new MemberEvent.ForController(new CellEvent.DomainsEvacuated(Set.of())));
         feed(ms, new MemberEvent.PeersListed(Set.of(peers)));
         feed(ms, new MemberEvent.Joined(generation, holds, at(ms)));
     }
--- a/core/src/test/java/org/boragegap/core/cell/CellOracle.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellOracle.java
@@ -16,21 +16,44 @@
     private final Map<String, Integer> mRefusals = new HashMap<>();
     private final Set<String> mFinished = new HashSet<>();
     private final List<String> mBroken = new ArrayList<>();
+    private final Map<String, Long> mEvacuatedMs = new HashMap<>();
+    private long mEvacuateMs = Long.MAX_VALUE;
     private long mNowMs;
 
     void at(long nowMs) {
         mNowMs = nowMs;
     }
 
-    void started(TaskName task, TargetInfo target, int usedCpu) {
+    void started(TaskName task, String target, int usedCpu, int roomCpu) {
         mStartedJobs.add(task.job());
         Set<String> where = mRunning.computeIfAbsent(task, name -> new HashSet<>());
         if (!where.isEmpty()) {
-            broken("twice at a time: " + task.text() + " on " + target.id() + " and " + where);
+            broken("twice at a time: " + task.text() + " on " + target + " and " + where);
         }
-        where.add(target.id());
-        if (usedCpu > target.cpuMillis()) {
-            broken("over its room: " + target.id() + " uses " + usedCpu);
+        where.add(target);
+        if (usedCpu > roomCpu) {
+            broken("over its room: " + target + " uses " + usedCpu + " of " + roomCpu);
+        }
+    }
+
+    /** From how long after an evacuation on nothing may be started in its domain, in ms. */
+    void evacuateWithin(long ms) {
+        mEvacuateMs = ms;
+    }
+
+    void evacuated(String domain) {
+        mEvacuatedMs.put(domain, mNowMs);
+    }
+
+    void takenBack(String domain) {
+        mEvacuatedMs.remove(domain);
+    }
+
+    /** A start has come that was not held up on its way. */
+    void startCame(TaskName task, TargetInfo target) {
+        Long sinceMs = mEvacuatedMs.get(target.failureDomain());
+        if (sinceMs != null && mNowMs - sinceMs > mEvacuateMs) {
+            broken("started in an evacuated domain: " + task.text() + " on " + target.id());
         }
     }
 
--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/cell/CrashingTaskTest.java
@@ -0,0 +1,148 @@
+package org.boragegap.core.cell;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A job holds a task that crashes whatever starts it. Started again and again, it takes down one
+ * target after the other, with all that other callers have running there.
+ */
+final class CrashingTaskTest {
+    private static final String JOB = "00000000000000c1";
+    private static final String OTHER_JOB = "00000000000000c2";
+    private static final TaskName TASK = new TaskName(JOB, 0, 0, 0);
+    private static final TargetInfo FIRST = ScriptedCell.target("t1", "x:1", "a", 2_000);
+    private static final TargetInfo SECOND = ScriptedCell.target("t2", "x:2", "a", 2_000);
+    private static final TargetInfo FIRST_REBORN = ScriptedCell.target("t3", "x:1", "a", 2_000);
+
+    /** By then the leases of a silent target are over: calls to it extend them less and less. */
+    private static final long LAPSED_MS = 6_000;
+
+    private final ScriptedCell mCell = new ScriptedCell();
+
+    @BeforeEach
+    void begin() {
+        mCell.evacuate(0);
+        mCell.begin(0, 7, FIRST, SECOND);
+        mCell.listed(5, FIRST, SECOND);
+    }
+
+    private void startAndCrash(long ms) {
+        CellAction.StartRun start = mCell.starts().get(mCell.starts().size() - 1);
+        mCell.take(ms, start);
+        mCell.reborn(ms + 10, start.target().id());
+    }
+
+    @Test
+    void afterTwoCrashesTheJobHasFailed() {
+        mCell.offer(10, JOB, 1);
+        startAndCrash(12);
+        assertThat(mCell.starts()).hasSize(2);
+        assertThat(mCell.verdicts()).isEmpty();
+        startAndCrash(40);
+        assertThat(mCell.starts()).hasSize(2);
+        assertThat(mCell.verdicts()).hasSize(1);
+        assertThat(mCell.verdicts().get(0)).isInstanceOf(Verdict.Failed.class);
+    }
+
+    /** The caller's connection broke, and it hands the job in again after a while. */
+    @Test
+    void handedInAgainItHasFailedStill() {
+        mCell.offer(10, JOB, 1);
+        startAndCrash(12);
+        startAndCrash(40);
+        mCell.ticks(15_000, 15_000);
+        mCell.forget();
+        mCell.listed(15_010, FIRST_REBORN);
+        mCell.offer(15_020, JOB, 1);
+        assertThat(mCell.verdicts().get(0)).isInstanceOf(Verdict.Failed.class);
+        assertThat(mCell.starts()).isEmpty();
+    }
+
+    /** The other VMs are told: the next controller may be any of them. */
+    @Test
+    void aNextControllerKnowsWhatTheOneBeforeHasSeen() {
+        mCell.on(5, new CellEvent.CrashTold(TASK, 1));
+        mCell.offer(10, JOB, 1);
+        startAndCrash(12);
+        assertThat(mCell.actions(CellAction.TellCrash.class))
+                .containsExactly(new CellAction.TellCrash(TASK, 2));
+        assertThat(mCell.verdicts().get(0)).isInstanceOf(Verdict.Failed.class);
+    }
+
+    /** One that has crashed a target would take others' tasks with it if they ran beside it. */
+    @Test
+    void aSuspectedTaskRunsAlone() {
+        mCell.on(5, new CellEvent.CrashTold(TASK, 1));
+        mCell.offer(10, JOB, 1);
+        mCell.offer(11, OTHER_JOB, 3);
+        List<CellAction.StartRun> starts = mCell.starts();
+        assertThat(starts).hasSize(3);
+        String alone = starts.get(0).target().id();
+        assertThat(mCell.startedOn().subList(1, 3)).doesNotContain(alone);
+    }
+
+    /** Its targets were beyond a cut and answer again: nothing has crashed. */
+    @Test
+    void aLapseIsNoCrash() {
+        mCell.offer(10, JOB, 1);
+        CellAction.StartRun start = mCell.starts().get(0);
+        mCell.take(12, start);
+        mCell.ticks(20, LAPSED_MS);
+        mCell.report(LAPSED_MS + 10, start.target().id(), List.of(), List.of());
+        mCell.listed(LAPSED_MS + 20, FIRST, SECOND, ScriptedCell.target("t9", "x:9", "a", 2_000));
+        assertThat(mCell.actions(CellAction.TellCrash.class)).isEmpty();
+    }
+
+    /** Its lease lapsed first; seconds later another incarnation is listed in its place. */
+    @Test
+    void aLapseIsACrashOnceAnotherIncarnationStandsInItsPlace() {
+        mCell.offer(10, JOB, 1);
+        CellAction.StartRun start = mCell.starts().get(0);
+        mCell.take(12, start);
+        mCell.ticks(20, LAPSED_MS);
+        TargetInfo gone = start.target();
+        TargetInfo reborn = ScriptedCell.target("t9", gone.address(), "a", 2_000);
+        mCell.listed(LAPSED_MS + 10, reborn);
+        assertThat(mCell.actions(CellAction.TellCrash.class))
+                .containsExactly(new CellAction.TellCrash(TASK, 1));
+    }
+
+    /** It was leaving as planned, and what ran there was killed with it. */
+    @Test
+    void aTargetThatWasLeavingHasNotCrashed() {
+        mCell.offer(10, JOB, 1);
+        TargetInfo info = mCell.starts().get(0).target();
+        TargetInfo leaving =
+                new TargetInfo(
+                        info.id(),
+                        info.address(),
+                        info.service(),
+                        info.failureDomain(),
+                        info.cpuMillis(),
+                        info.memoryMb(),
+                        info.accelerators(),
+                        info.labels(),
+                        false,
+                        true);
+        mCell.listed(15, leaving);
+        mCell.reborn(20, info.id());
+        assertThat(mCell.actions(CellAction.TellCrash.class)).isEmpty();
+    }
+
+    /** A crashed target is back at once as a sound one: the task was at fault, not the target. */
+    @Test
+    void noHealthyTargetIsKeptOutForIt() {
+        mCell.offer(10, JOB, 1);
+        startAndCrash(12);
+        startAndCrash(40);
+        mCell.listed(60, FIRST_REBORN);
+        mCell.report(70, "t3", List.of(), List.of());
+        mCell.forget();
+        mCell.offer(300, OTHER_JOB, 2);
+        assertThat(mCell.startedOn()).containsExactly("t3", "t3");
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/cell/FakePlatform.java
@@ -0,0 +1,130 @@
+package org.boragegap.core.cell;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * What a history's store says of targets and of what operators want, and the targets themselves.
+ */
+final class FakePlatform {
+    static final int TASK_CPU = 1_000;
+    private static final int TARGETS = 5;
+    private static final int DOMAINS = 2;
+    private static final int MOST_TASKS_PER_TARGET = 4;
+    private static final int UNLISTED_PERCENT = 40;
+    private static final long STEP_MS = 5;
+
+    /** A crashed target is back after this time, in ms, under another id at the same address. */
+    private static final long BACK_AFTER_MS = 500;
+
+    private final SimulatedClock mClock;
+    private final SplittableRandom mRandom;
+    private final CellOracle mOracle;
+    private final Map<String, FakeTarget> mTargets = new HashMap<>();
+    private final Set<String> mUnlisted = new HashSet<>();
+    private final Set<String> mEvacuated = new HashSet<>();
+    private int mNextTarget = 1;
+
+    FakePlatform(SimulatedClock clock, SplittableRandom random, CellOracle oracle) {
+        mClock = clock;
+        mRandom = random;
+        mOracle = oracle;
+        for (int i = 0; i < TARGETS; i++) {
+            addTarget("address" + i, domain(i));
+        }
+    }
+
+    private static String domain(int number) {
+        return "domain" + number % DOMAINS;
+    }
+
+    private void addTarget(String address, String domain) {
+        String id = "t" + mNextTarget++;
+        mTargets.put(id, FakeTarget.drawn(id, address, domain, mRandom, TASK_CPU, mOracle));
+    }
+
+    /** Moves the targets' time on, from now on. */
+    void begin() {
+        mTargets.values().forEach(target -> target.at(mClock.nowMs()));
+        mClock.after(STEP_MS, this::begin);
+    }
+
+    FakeTarget target(String id) {
+        return mTargets.get(id);
+    }
+
+    private List<String> ids() {
+        return mTargets.keySet().stream().sorted().toList();
+    }
+
+    /** Some of the targets' ids. */
+    List<String> drawHalf() {
+        return ids().stream().filter(id -> mRandom.nextBoolean()).toList();
+    }
+
+    /** The list of targets as the store has it. */
+    List<TargetInfo> listed() {
+        List<TargetInfo> infos = new ArrayList<>();
+        for (FakeTarget target : mTargets.values()) {
+            if (target.alive() && !mUnlisted.contains(target.info().id())) {
+                infos.add(target.info());
+            }
+        }
+        return infos;
+    }
+
+    /** Failure domains that operators want emptied. */
+    Set<String> evacuated() {
+        return Set.copyOf(mEvacuated);
+    }
+
+    /** A target crashes, and is back as another incarnation. */
+    void crashOne() {
+        List<String> ids = ids();
+        crash(mTargets.get(ids.get(mRandom.nextInt(ids.size()))));
+    }
+
+    /** A target crashes, and is back as another incarnation. */
+    void crash(FakeTarget target) {
+        if (target.alive()) {
+            target.crash();
+            TargetInfo info = target.info();
+            mClock.after(BACK_AFTER_MS, () -> addTarget(info.address(), info.failureDomain()));
+        }
+    }
+
+    void unlistSome(long forMs) {
+        List<String> some =
+                ids().stream().filter(id -> mRandom.nextInt(100) < UNLISTED_PERCENT).toList();
+        mUnlisted.addAll(some);
+        mClock.after(forMs, () -> mUnlisted.removeAll(some));
+    }
+
+    /** Targets' room shrinks and grows while they run. */
+    void resizeSome() {
+        for (String id : drawHalf()) {
+            int tasks = 1 + mRandom.nextInt(MOST_TASKS_PER_TARGET);
+            mTargets.get(id).resize(tasks * TASK_CPU, mClock.nowMs());
+        }
+    }
+
+    /** Operators want a domain emptied, and take it back after a while. */
+    void evacuateOne(long forMs) {
+        String domain = domain(mRandom.nextInt(DOMAINS));
+        if (!mEvacuated.add(domain)) {
+            return;
+        }
+        mOracle.evacuated(domain);
+        mClock.after(
+                forMs,
+                () -> {
+                    mEvacuated.remove(domain);
+                    mOracle.takenBack(domain);
+                });
+    }
+}
--- a/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
@@ -13,6 +13,9 @@
     static final long LEASE_MOST_MS = 1_000;
     private static final int STOP_MS = 30;
 
+    /** How long a room that has shrunk counts: the platform's window and a heartbeat, in ms. */
+    private static final long ROOM_COUNTS_MS = 5_500;
+
     private static final class Running {
         private final int mRun;
         private final long mEndsMs;
@@ -37,7 +40,11 @@
         }
     }
 
-    private final TargetInfo mInfo;
+    /** An earlier room, and until when it counts beside the present one. */
+    private record EarlierRoom(int cpuMillis, long countsUntilMs) {}
+
+    private TargetInfo mInfo;
+    private final List<EarlierRoom> mEarlierRooms = new ArrayList<>();
     private final double mClockRate;
     private final int mTaskCpu;
     private final CellOracle mOracle;
@@ -59,10 +66,17 @@
     }
 
     /** A target for two tasks whose clock is up to 1.5% slow. */
-    static FakeTarget drawn(String id, SplittableRandom random, int taskCpu, CellOracle oracle) {
+    static FakeTarget drawn(
+            String id,
+            String address,
+            String domain,
+            SplittableRandom random,
+            int taskCpu,
+            CellOracle oracle) {
         int room = 2 * taskCpu;
         TargetInfo info =
-                new TargetInfo(id, id, "service", "domain", room, 100, 0, Set.of(), false, false);
+                new TargetInfo(
+                        id, address, "service", domain, room, 100, 0, Set.of(), false, false);
         double rate = 0.985 + random.nextDouble() * 0.015;
         return new FakeTarget(info, rate, taskCpu, oracle);
     }
@@ -75,6 +89,33 @@
         return mAlive;
     }
 
+    /** Its room changes; a larger one of before counts for a while. */
+    void resize(int cpuMillis, long nowMs) {
+        mEarlierRooms.add(new EarlierRoom(mInfo.cpuMillis(), nowMs + ROOM_COUNTS_MS));
+        mInfo =
+                new TargetInfo(
+                        mInfo.id(),
+                        mInfo.address(),
+                        mInfo.service(),
+                        mInfo.failureDomain(),
+                        cpuMillis,
+                        mInfo.memoryMb(),
+                        mInfo.accelerators(),
+                        mInfo.labels(),
+                        mInfo.guarded(),
+                        mInfo.draining());
+    }
+
+    private int roomThatCounts() {
+        int room = mInfo.cpuMillis();
+        for (EarlierRoom earlier : mEarlierRooms) {
+            if (mNowMs <= earlier.countsUntilMs()) {
+                room = Math.max(room, earlier.cpuMillis());
+            }
+        }
+        return room;
+    }
+
     private long clock() {
         return (long) (mNowMs * mClockRate) + 50_000;
     }
@@ -127,7 +168,7 @@
         mSeenRuns.put(order.task(), order.run());
         EndCause cause = fails ? EndCause.FAILED : EndCause.DONE;
         mRunning.put(order.task(), new Running(order.run(), mNowMs + takesMs, cause));
-        mOracle.started(order.task(), mInfo, mRunning.size() * mTaskCpu);
+        mOracle.started(order.task(), mInfo.id(), mRunning.size() * mTaskCpu, roomThatCounts());
         return OrderResult.DONE;
     }
 
--- a/core/src/test/java/org/boragegap/core/cell/IdleTargetsTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/IdleTargetsTest.java
@@ -81,6 +81,7 @@
         }
 
         private void idleTarget(long firstAnswerMs) {
+            on(0, new CellEvent.DomainsEvacuated(Set.of()));
             on(0, new CellEvent.TermBegan(7, Optional.of(List.of(TARGET))));
             answer(firstAnswerMs, lastCall());
             on(firstAnswerMs + 1, new CellEvent.PredecessorsKnown(true));
--- a/core/src/test/java/org/boragegap/core/cell/LoadedCell.java
+++ b/core/src/test/java/org/boragegap/core/cell/LoadedCell.java
@@ -165,6 +165,7 @@
             infos.add(info);
             mTargets.add(new FakeTarget(info, 1.0, TASK_CPU, mOracle));
         }
+        feed(new CellEvent.DomainsEvacuated(Set.of()));
         feed(new CellEvent.TermBegan(1, Optional.empty()));
         feed(new CellEvent.TargetsListed(infos));
         feed(new CellEvent.PredecessorsKnown(true));
--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
@@ -0,0 +1,118 @@
+package org.boragegap.core.cell;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.boragegap.core.ClockReading;
+
+/** A controller whose operators, targets and callers do what a test says, at stated times. */
+final class ScriptedCell {
+    private static final long BUDGET_MS = 1_500;
+    private static final long LEASE_MS = 1_000;
+
+    private final CellController mController = CellController.create(new CellSettings(LEASE_MS, 2));
+    private final List<CellAction> mActions = new ArrayList<>();
+    private long mNextOffer = 1;
+
+    /** A target with room for tasks of 1,000 thousandths of a core. */
+    static TargetInfo target(String id, String address, String domain, int cpuMillis) {
+        return new TargetInfo(
+                id, address, "service", domain, cpuMillis, 100, 0, Set.of(), false, false);
+    }
+
+    void on(long ms, CellEvent event) {
+        mController.actsUntil(ms + LEASE_MS);
+        mController.on(event, new ClockReading(ms, ms), mActions);
+    }
+
+    void evacuate(long ms, String... domains) {
+        on(ms, new CellEvent.DomainsEvacuated(Set.of(domains)));
+    }
+
+    /** A term begins; the targets of the term before have answered, and nothing runs there. */
+    void begin(long ms, long fence, TargetInfo... targets) {
+        on(ms, new CellEvent.TermBegan(fence, Optional.of(List.of(targets))));
+        for (TargetInfo target : targets) {
+            report(ms, target.id(), List.of(), List.of());
+        }
+        on(ms, new CellEvent.PredecessorsKnown(true));
+    }
+
+    void listed(long ms, TargetInfo... targets) {
+        on(ms, new CellEvent.TargetsListed(List.of(targets)));
+    }
+
+    void ticks(long fromMs, long untilMs) {
+        for (long ms = fromMs; ms <= untilMs; ms += 10) {
+            on(ms, new CellEvent.Ticked());
+        }
+    }
+
+    /** The target answers the last lease call that it was sent. */
+    void report(
+            long ms,
+            String target,
+            List<TargetReport.RunningRow> running,
+            List<TargetReport.EndedRow> ended) {
+        TargetReport report = new TargetReport(ms, running, ended);
+        on(ms, new CellEvent.LeaseExtended(target, lastCall(target), report));
+    }
+
+    /** The target at that address answers the last lease call as another incarnation. */
+    void reborn(long ms, String target) {
+        OrderResult cause = OrderResult.OTHER_INCARNATION;
+        on(ms, new CellEvent.LeaseFailed(target, lastCall(target), cause));
+    }
+
+    private long lastCall(String target) {
+        return actions(CellAction.ExtendLease.class).stream()
+                .filter(call -> call.target().id().equals(target))
+                .mapToLong(CellAction.ExtendLease::call)
+                .reduce((earlier, later) -> later)
+                .orElseThrow();
+    }
+
+    /**
+     * A caller hands in a job, a single failure of which ends it, of some tasks of 1,000
+     * thousandths of a core in.
+     */
+    void offer(long ms, String job, int tasks) {
+        offer(ms, job, StepRequest.plain(tasks, 1_000, 100));
+    }
+
+    void offer(long ms, String job, StepRequest step) {
+        JobRequest request =
+                new JobRequest(job, "queue", "service", 0, 1, 1.6, 600, "", List.of(step), 1);
+        on(ms, new CellEvent.Offered("vm1", request, 0, BUDGET_MS, 1, mNextOffer++));
+    }
+
+    /** The target takes a start. */
+    void take(long ms, CellAction.StartRun start) {
+        on(
+                ms,
+                new CellEvent.StartAnswered(
+                        start.target().id(), start.task(), start.run(), OrderResult.DONE));
+    }
+
+    <T extends CellAction> List<T> actions(Class<T> kind) {
+        return mActions.stream().filter(kind::isInstance).map(kind::cast).toList();
+    }
+
+    List<CellAction.StartRun> starts() {
+        return actions(CellAction.StartRun.class);
+    }
+
+    /** Targets on which something was started, in order. */
+    List<String> startedOn() {
+        return starts().stream().map(start -> start.target().id()).toList();
+    }
+
+    List<Verdict> verdicts() {
+        return actions(CellAction.Answer.class).stream().map(CellAction.Answer::verdict).toList();
+    }
+
+    void forget() {
+        mActions.removeIf(action -> !(action instanceof CellAction.ExtendLease));
+    }
+}
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -91,6 +92,10 @@
     private final ScheduledExecutorService mTimer = timer();
     private final CountDownLatch mDrained = new CountDownLatch(1);
     private volatile Cells mCells = Cells.none();
+
+    /** What operators want emptied, once it is known; for the control thread. */
+    private Optional<Set<String>> mEvacuated = Optional.empty();
+
     private volatile boolean mDraining;
 
     private CellNode(Settings settings, long incarnation) {
@@ -132,7 +137,7 @@
                         Topics.OPERATORS,
                         CONFIG_WAIT_MS,
                         CONFIG_PAUSE_MS,
-                        this::configChanged);
+                        this::operatorsChanged);
         mTargets =
                 new TopicFollower(
                         mStore, mTimer, Topics.TARGETS, 0, TARGETS_PAUSE_MS, this::targetsChanged);
@@ -223,6 +228,7 @@
                                     cpuMillis,
                                     began.monotonicMs(),
                                     cell -> control(cell, layout, cpuMillis, began));
+                    mEvacuated.ifPresent(mCells::evacuated);
                     mTimer.execute(() -> mGroup.atLeast(layout.leastLeaseMs()));
                     mTimer.execute(mGroup::start);
                     mTimer.execute(mGroup::join);
@@ -272,6 +278,19 @@
                                 mCells.state(), mCells.waitingCallers(), mJobs.configVersion()));
     }
 
+    private void operatorsChanged(Map<String, byte[]> records) {
+        configChanged(records);
+        evacuationsChanged(Topics.evacuatedDomains(records.keySet()));
+    }
+
+    private void evacuationsChanged(Set<String> domains) {
+        mThread.post(
+                () -> {
+                    mEvacuated = Optional.of(domains);
+                    mCells.evacuated(domains);
+                });
+    }
+
     private void configChanged(Map<String, byte[]> records) {
         byte[] value = records.get(Topics.CONFIGURATION_KEY);
         if (value == null) {
--- a/entry/src/main/java/org/boragegap/entry/cell/Cells.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/Cells.java
@@ -144,6 +144,13 @@
         }
     }
 
+    /** Tells all cells which failure domains operators want emptied. */
+    void evacuated(Set<String> domains) {
+        for (int cell = 0; cell < mControls.size(); cell++) {
+            on(cell, new CellEvent.DomainsEvacuated(domains));
+        }
+    }
+
     /** A cell begins or ends following the list; true when any cell does. */
     boolean follow(int cell, boolean follow) {
         if (follow) {
