A newcomer doesn't take its ignorance for the loss of a controller

Ruled out: that the controller's answer to "I miss the controller" comes too late: a newcomer without peers says it to nobody.

Change: a VM asks for a cell only once it has known the members for 150 ms, which is some hops there and back, and in which the controller answers; a join's answer that deals a cell to a VM which asks no longer, and hears the controller, begins no term.

--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -152,8 +152,8 @@
     // Membership
 
     private void joined(MemberEvent.Joined joined) {
-        boolean again =
-                mMembership.joined(joined.generation(), joined.holdsCell(), joined.sent(), mClock);
+        boolean holds = joined.holdsCell() && !followsAnother();
+        boolean again = mMembership.joined(joined.generation(), holds, joined.sent(), mClock);
         followMembership();
         if (mMembership.justCame(mClock)) {
             readMembers();
@@ -163,6 +163,15 @@
         }
     }
 
+    /**
+     * Guards against a cell that is dealt to a VM which asks for it no longer: it has heard the
+     * controller meanwhile, and would depose it in good health. The group hears of it with the next
+     * join.
+     */
+    private boolean followsAnother() {
+        return !wantsCell() && mDesk.controller(mClock.monotonicMs()).isPresent();
+    }
+
     private void peers(Set<String> peers) {
         mFollowers.listed(peers, mClock.monotonicMs());
         if (mController.fence().isEmpty()) {
--- a/core/src/main/java/org/boragegap/core/cell/ControllerSearch.java
+++ b/core/src/main/java/org/boragegap/core/cell/ControllerSearch.java
@@ -1,10 +1,17 @@
 package org.boragegap.core.cell;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.boragegap.core.ClockReading;
 
 /** What this VM does while it hears no controller: tells the others, and asks for the cell. */
 final class ControllerSearch {
+    /**
+     * How long the others have to answer a VM that has just got to know them, in ms: the controller
+     * answers within some hops that it is well.
+     */
+    private static final long ANSWER_MS = 150;
+
     private final String mSelf;
     private final Candidacy mCandidacy;
     private final Membership mMembership;
@@ -80,7 +87,7 @@
             tellAll(actions);
         }
         boolean asked = mCandidacy.asks();
-        if (cutOff || !able || mMembership.justCame(clock)) {
+        if (cutOff || !able || !knowsOthers(nowMs) || mMembership.justCame(clock)) {
             mCandidacy.withdraw();
         } else {
             mCandidacy.turn(silentMs, mSelf, mStrength, mFollowers.peers(), nowMs);
@@ -95,6 +102,17 @@
         return tells && !cutOff;
     }
 
+    /**
+     * Guards against a newcomer that takes its own ignorance for the loss of a controller. Nobody
+     * knows it yet, so it hears no heartbeat; with nobody known to it, it was most of all VMs by
+     * itself, asked for each cell, was dealt it, and deposed a controller in good health. It showed
+     * while the store was slow, since who is in the group is read from there.
+     */
+    private boolean knowsOthers(long nowMs) {
+        OptionalLong forMs = mFollowers.knownForMs(nowMs);
+        return forMs.isPresent() && forMs.getAsLong() >= ANSWER_MS;
+    }
+
     private void tellAll(List<MemberAction> actions) {
         CellMessage.Missing missing = new CellMessage.Missing(mDesk.fence(), mStrength);
         for (String peer : mCandidacy.toTell(mFollowers.peers())) {
--- a/core/src/main/java/org/boragegap/core/cell/Followers.java
+++ b/core/src/main/java/org/boragegap/core/cell/Followers.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.boragegap.core.ClockReading;
 
@@ -30,14 +31,25 @@
     private final Map<String, ClockReading> mVouched = new HashMap<>();
     private final Map<String, Long> mListedMs = new HashMap<>();
     private Set<String> mPeers = Set.of();
+    private OptionalLong mFirstListedMs = OptionalLong.empty();
 
     /** Peer addresses of the other entry VMs. */
     Set<String> peers() {
         return mPeers;
     }
 
+    /** For how long this VM has known who is in the group, in ms; empty if it doesn't yet. */
+    OptionalLong knownForMs(long nowMs) {
+        return mFirstListedMs.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(nowMs - mFirstListedMs.getAsLong());
+    }
+
     /** The group's members were read. */
     void listed(Set<String> peers, long nowMs) {
+        if (mFirstListedMs.isEmpty()) {
+            mFirstListedMs = OptionalLong.of(nowMs);
+        }
         mPeers = peers;
         peers.forEach(peer -> mListedMs.put(peer, nowMs));
         mListedMs.values().removeIf(ms -> nowMs - ms > COUNTS_AFTER_MS);
--- a/core/src/test/java/org/boragegap/core/cell/CellHistoriesProperties.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistoriesProperties.java
@@ -17,6 +17,7 @@
     /** Jobs that a history without failures would finish are about 140; few are lost on average. */
     private static final int LEAST_FINISHED = 40;
 
+    private static final long ALL_HAVE_STARTED_MS = 1_500;
     private static final int AVERAGED = 200;
     private static final int MOST_TERMS = 6;
     private static final double MOST_CHANGES_ON_SLOW_VMS = 0.1;
@@ -56,6 +57,20 @@
         assertWithMessage("seed %s", seed).that(history.playCalmEvacuations()).isEmpty();
     }
 
+    /**
+     * VMs start while the controller is well and the store is slow. A newcomer has heard of no
+     * controller and doesn't know who else there is; taking that for a loss it asked for the cell,
+     * was dealt it, and deposed a controller in good health: callers waited for up to 4 s.
+     */
+    @Property(tries = 2_000, seed = "15")
+    void newcomersDeposeNobody(@ForAll long seed) {
+        CellHistory history = new CellHistory(seed);
+        assertWithMessage("seed %s", seed).that(history.playNewcomersOfASlowStore()).isEmpty();
+        TermCount terms = history.terms();
+        assertWithMessage("seed %s", seed).that(terms.changesOfHands()).isEqualTo(0);
+        assertWithMessage("seed %s", seed).that(terms.askedSince(ALL_HAVE_STARTED_MS)).isEqualTo(0);
+    }
+
     /**
      * Seeds that once broke a promise, each by a cause of its own: a refusal by a later term of the
      * same VM; a job handed in again beside a run on a target out of reach, twice; a VM that had
--- a/core/src/test/java/org/boragegap/core/cell/CellMemberTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellMemberTest.java
@@ -87,6 +87,7 @@
         void aListFromTheTermBeforeIsToldAsThatOfThisTerm() {
             hears(0, "vm2", new CellMessage.Leading(3_000, SENT, PERIOD_MS));
             hears(0, "vm2", new CellMessage.Targets(3_000, 4, List.of(TARGET)));
+            hears(5, "vm2", new CellMessage.Leaving(3_000));
             join(10, 4, true, "vm2");
             long fence = mMember.fence().get();
             CellMessage.Targets own = new CellMessage.Targets(fence, 1, List.of(TARGET));
