A start loads a quarter fewer classes: log set up in code, frames field by field, mappers when first used

Cause: `serve` built the bundle command's mapper and the record mappers of the product's own path, read the log's configuration from XML with a scan of plugins, and bound figures of the runtime before it took callers. Frames between VMs were mapped by reflection, found out at the first message of each type.

Change: LogSetup and JsonLines (one line of JSON as before; lines that wait together are written by one call); frames about cells as MessagePack values in the order of the records (CellFrames), all others as maps as before; mappers and runtime figures when first used; the process's own beginning is read by the command and not from the runtime's beans.

--- a/app/src/main/java/org/boragegap/app/BundleCommand.java
+++ b/app/src/main/java/org/boragegap/app/BundleCommand.java
@@ -26,8 +26,11 @@
     private static final int OK = 200;
     private static final int TIMEOUT = 504;
 
-    private final ObjectMapper mMapper =
-            new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+    /** Made when first used: each command is made in each process, and this one costs most. */
+    private static final class Json {
+        private static final ObjectMapper MAPPER =
+                new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+    }
 
     @Override
     public String name() {
@@ -94,7 +97,7 @@
         String parent = line.getOptionValue("parent", "");
         String publication = UUID.randomUUID().toString();
         Bundle bundle = new Bundle(version, parent, publication, body, List.of());
-        System.out.println(mMapper.writeValueAsString(bundle));
+        System.out.println(Json.MAPPER.writeValueAsString(bundle));
         return ExitCode.OK;
     }
 
@@ -109,7 +112,7 @@
     }
 
     private ExitCode sign(CommandLine line, Path file) throws Exception {
-        Bundle bundle = mMapper.readValue(Files.readString(file), Bundle.class);
+        Bundle bundle = Json.MAPPER.readValue(Files.readString(file), Bundle.class);
         String keyText = Files.readString(Path.of(need(line, "private-key"))).trim();
         byte[] keyBytes = Base64.getDecoder().decode(keyText);
         PrivateKey key =
@@ -128,7 +131,7 @@
                         bundle.publication(),
                         bundle.body(),
                         signatures);
-        Files.writeString(file, mMapper.writeValueAsString(signed));
+        Files.writeString(file, Json.MAPPER.writeValueAsString(signed));
         return ExitCode.OK;
     }
 
--- a/app/src/main/java/org/boragegap/app/Command.java
+++ b/app/src/main/java/org/boragegap/app/Command.java
@@ -15,6 +15,11 @@
     /** Its options; {@code --help} comes by itself. */
     Options options();
 
+    /** Sets up where its log lines go to; called once, before it runs. */
+    default void beginLog() {
+        LogSetup.ofCommand();
+    }
+
     /** Runs it. */
     ExitCode run(CommandLine line) throws Exception;
 }
--- a/app/src/main/java/org/boragegap/app/EmbeddedCell.java
+++ b/app/src/main/java/org/boragegap/app/EmbeddedCell.java
@@ -140,7 +140,7 @@
                         "vm_list = " + HOST + ":" + mStorePort,
                         "store = " + HOST + ":" + mStorePort);
         Settings settings = ((Settings.Read.Good) Settings.parse("quickstart", ini)).settings();
-        CellNode node = CellNode.create(settings, incarnation);
+        CellNode node = CellNode.create(settings, incarnation, CellNode.clock());
         node.start();
         mNodes.add(node);
         mCallers.add(callers);
--- a/app/src/main/java/org/boragegap/app/ServeCommand.java
+++ b/app/src/main/java/org/boragegap/app/ServeCommand.java
@@ -1,6 +1,7 @@
 package org.boragegap.app;
 
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
@@ -9,6 +10,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.core.config.Configurator;
+import org.boragegap.core.ClockReading;
 import org.boragegap.entry.EntryService;
 import org.boragegap.entry.Setting;
 import org.boragegap.entry.Settings;
@@ -16,10 +18,13 @@
 
 /** Runs an entry VM's process until it has drained. */
 final class ServeCommand implements Command {
-    /**
-     * Made when first used: the first logger sets the log up, and by then it has to be known where
-     * its lines go to.
-     */
+    private static final long NANOS_PER_MS = 1_000_000;
+
+    private final ClockReading mBegan =
+            new ClockReading(System.nanoTime() / NANOS_PER_MS, System.currentTimeMillis());
+    private LogSetup mLog;
+
+    /** Made when first used: by then the log has to be set up. */
     private static final class Log {
         private static final Logger LOGGER = LogManager.getLogger(ServeCommand.class);
     }
@@ -47,17 +52,23 @@
                                 .build());
     }
 
+    @Override
+    public void beginLog() {
+        mLog = LogSetup.ofProcess();
+    }
+
     @Override
     public ExitCode run(CommandLine line) throws Exception {
-        System.setProperty("boragegap.log.target", "SYSTEM_OUT");
         Settings settings = CheckConfigCommand.load(line.getOptionValue("c"));
         if (settings == null) {
             return ExitCode.USAGE;
         }
         long incarnation = System.currentTimeMillis();
-        System.setProperty("boragegap.incarnation", Long.toString(incarnation));
-        System.setProperty("boragegap.vm", settings.text(Setting.PEER_ADDRESS));
-        System.setProperty("boragegap.domain", settings.text(Setting.FAILURE_DOMAIN));
+        mLog.describe(
+                Map.of(
+                        "vm", settings.text(Setting.PEER_ADDRESS),
+                        "failure_domain", settings.text(Setting.FAILURE_DOMAIN),
+                        "incarnation", Long.toString(incarnation)));
         Configurator.setRootLevel(Level.toLevel(settings.text(Setting.LOG_LEVEL)));
         if (!settings.text(Setting.STORE_ADDRESS).isEmpty()) {
             return serveCell(line.getOptionValue("c"), settings, incarnation);
@@ -70,11 +81,10 @@
         return ExitCode.OK;
     }
 
-    private static ExitCode serveCell(String file, Settings settings, long incarnation)
-            throws Exception {
+    private ExitCode serveCell(String file, Settings settings, long incarnation) throws Exception {
         settings.replaced().forEach(line -> Log.LOGGER.warn("settings: {}", line));
         HangupSignal.handle(() -> reload(file));
-        CellNode node = CellNode.create(settings, incarnation);
+        CellNode node = CellNode.create(settings, incarnation, mBegan);
         node.start();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drainAndHalt(node), "drain"));
         new CountDownLatch(1).await();
--- a/app/src/test/java/org/boragegap/app/CellPathTest.java
+++ b/app/src/test/java/org/boragegap/app/CellPathTest.java
@@ -104,7 +104,7 @@
                         "vm_list = " + HOST + ":" + mStorePort,
                         "store = " + HOST + ":" + mStorePort);
         Settings settings = ((Settings.Read.Good) Settings.parse("test.ini", ini)).settings();
-        return CellNode.create(settings, mNodes.size() + 1);
+        return CellNode.create(settings, mNodes.size() + 1, CellNode.clock());
     }
 
     /** Threads of entry processes that decide or call others, on their own account. */
--- /dev/null
+++ b/app/src/test/java/org/boragegap/app/JsonLinesTest.java
@@ -0,0 +1,68 @@
+package org.boragegap.app;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.Map;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.impl.Log4jLogEvent;
+import org.apache.logging.log4j.message.Message;
+import org.apache.logging.log4j.message.SimpleMessage;
+import org.apache.logging.log4j.message.StringMapMessage;
+import org.junit.jupiter.api.Test;
+
+/** What a log line looks like to those who read it by a program. */
+final class JsonLinesTest {
+    private final JsonLines mLines = new JsonLines();
+
+    private JsonNode line(Message message, Throwable thrown, long ms) throws Exception {
+        Log4jLogEvent event =
+                Log4jLogEvent.newBuilder()
+                        .setLoggerName("decision")
+                        .setLevel(Level.INFO)
+                        .setThreadName("control")
+                        .setMessage(message)
+                        .setThrown(thrown)
+                        .setTimeMillis(ms)
+                        .build();
+        String text = mLines.toSerializable(event);
+        assertThat(text).endsWith("\n");
+        assertThat(text.trim()).doesNotContain("\n");
+        return new ObjectMapper().readTree(text);
+    }
+
+    @Test
+    void aDecisionStandsWithItsFields() throws Exception {
+        mLines.describe(Map.of("vm", "10.1.0.13:7720"));
+        StringMapMessage message = new StringMapMessage();
+        message.put("what", "refuse");
+        message.put("inputs", "reason=\"none\"\n");
+        JsonNode line = line(message, null, 0);
+        assertThat(line.path("message").path("what").asText()).isEqualTo("refuse");
+        assertThat(line.path("message").path("inputs").asText()).isEqualTo("reason=\"none\"\n");
+        assertThat(line.path("vm").asText()).isEqualTo("10.1.0.13:7720");
+        assertThat(line.path("level").asText()).isEqualTo("INFO");
+    }
+
+    @Test
+    void aTextStandsAsText() throws Exception {
+        JsonNode line = line(new SimpleMessage("draining"), null, 0);
+        assertThat(line.path("message").path("text").asText()).isEqualTo("draining");
+        assertThat(line.has("exception")).isFalse();
+    }
+
+    @Test
+    void anExceptionStandsWithItsStack() throws Exception {
+        JsonNode line = line(new SimpleMessage("bad"), new IllegalStateException("why"), 0);
+        assertThat(line.path("exception").asText()).contains("IllegalStateException: why");
+    }
+
+    @Test
+    void timesAreInUtcWithMilliseconds() throws Exception {
+        assertThat(line(new SimpleMessage(""), null, 1).path("time").asText())
+                .isEqualTo("1970-01-01T00:00:00.001Z");
+        assertThat(line(new SimpleMessage(""), null, 1_796_280_003_007L).path("time").asText())
+                .isEqualTo("2026-12-03T06:40:03.007Z");
+    }
+}
--- a/entry/src/main/java/org/boragegap/entry/cell/CellMetrics.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellMetrics.java
@@ -24,10 +24,10 @@
             Counter.builder("boragegap.callers.left").register(mRegistry);
     private volatile CellState mState = CellState.NONE;
     private volatile int mWaiting;
+    private boolean mRuntimeBound;
     private volatile long mConfigVersion;
 
     CellMetrics() {
-        new JvmMemoryMetrics().bindTo(mRegistry);
         for (Class<?> verdict : Verdict.class.getPermittedSubclasses()) {
             mAnswers.put(
                     verdict,
@@ -79,7 +79,12 @@
         mConfigVersion = configVersion;
     }
 
-    String scrape() {
+    /** All figures as text. Those of the runtime are added by the first call: nobody else asks. */
+    synchronized String scrape() {
+        if (!mRuntimeBound) {
+            mRuntimeBound = true;
+            new JvmMemoryMetrics().bindTo(mRegistry);
+        }
         return mRegistry.scrape();
     }
 }
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -1,7 +1,6 @@
 package org.boragegap.entry.cell;
 
 import java.io.IOException;
-import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -98,8 +97,8 @@
 
     private volatile boolean mDraining;
 
-    private CellNode(Settings settings, long incarnation) {
-        mBegan = processBegan();
+    private CellNode(Settings settings, long incarnation, ClockReading began) {
+        mBegan = began;
         mSettings = settings;
         mSelf = settings.text(Setting.PEER_ADDRESS);
         mHttp = HttpCaller.create((int) settings.number(Setting.CONNECTIONS));
@@ -148,16 +147,15 @@
      *
      * @param settings checked settings
      * @param incarnation number of this run, larger for later runs at the same address
+     * @param began a time when this process ran already; what an earlier one did is over since then
      */
-    public static CellNode create(Settings settings, long incarnation) {
-        return new CellNode(settings, incarnation);
+    public static CellNode create(Settings settings, long incarnation, ClockReading began) {
+        return new CellNode(settings, incarnation, began);
     }
 
-    /** A clock reading of when this process began; what an earlier one did is over since then. */
-    private static ClockReading processBegan() {
-        long uptimeMs = ManagementFactory.getRuntimeMXBean().getUptime();
-        ClockReading now = ControlThread.clock();
-        return new ClockReading(now.monotonicMs() - uptimeMs, now.wallMs() - uptimeMs);
+    /** What the clocks show now, as this package reads them. */
+    public static ClockReading clock() {
+        return ControlThread.clock();
     }
 
     /** Answers that come in after the stop are dropped: nobody is left to take them. */
--- a/wire/src/main/java/org/boragegap/wire/PeerCodec.java
+++ b/wire/src/main/java/org/boragegap/wire/PeerCodec.java
@@ -8,8 +8,6 @@
 import com.fasterxml.jackson.databind.jsontype.NamedType;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.io.IOException;
-import org.boragegap.core.cell.CellMessage;
-import org.boragegap.core.cell.Verdict;
 import org.boragegap.core.claim.ClaimMessage;
 import org.boragegap.core.job.Answer;
 import org.boragegap.core.placement.LoanMessage;
@@ -18,32 +16,37 @@
 import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
-/** Turns peer messages into MessagePack and back. */
+/**
+ * Turns peer messages into MessagePack and back. Frames about cells have a form of their own, see
+ * {@link CellFrames}; all others are maps, as the mapper writes records.
+ */
 public final class PeerCodec {
+    /** Made when the first message comes that isn't about cells; a VM in a cell never needs it. */
+    private static final class Mapped {
+        private static final ObjectMapper MAPPER = newMapper();
+        private static final ObjectWriter WRITER = MAPPER.writerFor(PeerMessage.class);
+        private static final ObjectReader READER = MAPPER.readerFor(PeerMessage.class);
+    }
 
     /** Names the type of a message by its simple class name in the field {@code t}. */
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
     private interface TypeByName {}
 
-    private final ObjectWriter mWriter;
-    private final ObjectReader mReader;
-
-    private PeerCodec(ObjectMapper mapper) {
-        mWriter = mapper.writerFor(PeerMessage.class);
-        mReader = mapper.readerFor(PeerMessage.class);
-    }
+    private PeerCodec() {}
 
     /** Makes a codec; it may be shared by threads. */
     public static PeerCodec create() {
+        return new PeerCodec();
+    }
+
+    private static ObjectMapper newMapper() {
         ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
         mapper.registerModule(new Jdk8Module());
         nameTypes(mapper, PeerMessage.class);
         nameTypes(mapper, ClaimMessage.class);
         nameTypes(mapper, Answer.class);
         nameTypes(mapper, LoanMessage.class);
-        nameTypes(mapper, CellMessage.class);
-        nameTypes(mapper, Verdict.class);
-        return new PeerCodec(mapper);
+        return mapper;
     }
 
     private static void nameTypes(ObjectMapper mapper, Class<?> sealedType) {
@@ -55,8 +58,11 @@
 
     /** Encodes a message. */
     public byte[] encode(PeerMessage message) throws WireException {
+        if (CellFrames.takes(message)) {
+            return CellFrames.encode(message);
+        }
         try {
-            return mWriter.writeValueAsBytes(message);
+            return Mapped.WRITER.writeValueAsBytes(message);
         } catch (JsonProcessingException e) {
             throw new WireException("message can't be encoded", e);
         }
@@ -64,9 +70,12 @@
 
     /** Decodes a message. */
     public PeerMessage decode(byte[] bytes) throws WireException {
+        if (CellFrames.begins(bytes)) {
+            return CellFrames.decode(bytes);
+        }
         try {
             checkLengths(bytes);
-            PeerMessage message = mReader.readValue(bytes);
+            PeerMessage message = Mapped.READER.readValue(bytes);
             if (message == null) {
                 throw new WireException("frame holds no message", null);
             }
--- /dev/null
+++ b/wire/src/main/java/org/boragegap/wire/VerdictFields.java
@@ -0,0 +1,59 @@
+package org.boragegap.wire;
+
+import java.io.IOException;
+import org.boragegap.core.cell.Verdict;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** The fields of each verdict in a frame: its number, its reason, and what else it has. */
+enum VerdictFields {
+    COMPLETED {
+        @Override
+        Verdict read(MessageUnpacker unpacker) {
+            return new Verdict.Completed();
+        }
+    },
+    FAILED {
+        @Override
+        Verdict read(MessageUnpacker unpacker) throws IOException {
+            return new Verdict.Failed(unpacker.unpackString());
+        }
+    },
+    DECLINED {
+        @Override
+        Verdict read(MessageUnpacker unpacker) throws IOException {
+            return new Verdict.Declined(unpacker.unpackString(), unpacker.unpackLong());
+        }
+    },
+    IN_DOUBT {
+        @Override
+        Verdict read(MessageUnpacker unpacker) throws IOException {
+            return new Verdict.InDoubt(unpacker.unpackString());
+        }
+    };
+
+    private static final VerdictFields[] ALL = values();
+
+    abstract Verdict read(MessageUnpacker unpacker) throws IOException;
+
+    static void pack(MessagePacker packer, Verdict verdict) throws IOException {
+        if (verdict instanceof Verdict.Completed) {
+            packer.packInt(COMPLETED.ordinal());
+        } else if (verdict instanceof Verdict.Failed failed) {
+            packer.packInt(FAILED.ordinal()).packString(failed.reason());
+        } else if (verdict instanceof Verdict.Declined declined) {
+            packer.packInt(DECLINED.ordinal()).packString(declined.reason());
+            packer.packLong(declined.retryAfterMs());
+        } else {
+            packer.packInt(IN_DOUBT.ordinal()).packString(verdict.reason());
+        }
+    }
+
+    static Verdict unpack(MessageUnpacker unpacker) throws IOException {
+        int number = unpacker.unpackInt();
+        if (number < 0 || number >= ALL.length) {
+            throw new IOException("no such verdict: " + number);
+        }
+        return ALL[number].read(unpacker);
+    }
+}
--- a/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
+++ b/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
@@ -1,11 +1,25 @@
 package org.boragegap.wire;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.boragegap.core.ClockReading;
+import org.boragegap.core.cell.CellMessage;
+import org.boragegap.core.cell.JobRequest;
+import org.boragegap.core.cell.StepRequest;
+import org.boragegap.core.cell.TargetInfo;
+import org.boragegap.core.cell.TaskName;
+import org.boragegap.core.cell.Verdict;
 import org.boragegap.core.claim.Claim;
 import org.boragegap.core.claim.ClaimKey;
 import org.boragegap.core.claim.ClaimMessage;
@@ -57,6 +71,60 @@
         assertSurvives(new PeerMessage.Loans("a:1", new LoanMessage.Recall("s", count)));
     }
 
+    @Property(tries = 200, seed = "4")
+    void messagesAboutCellsSurvive(
+            @ForAll long number, @ForAll int count, @ForAll boolean flag, @ForAll String text)
+            throws WireException {
+        ClockReading clock = new ClockReading(number, -number);
+        TaskName task = new TaskName(text, count, 1, 2);
+        Optional<String> label = flag ? Optional.of(text) : Optional.empty();
+        StepRequest step =
+                new StepRequest(count, 1, 2, 3, number, List.of(0, count), label, label, 4);
+        JobRequest job =
+                new JobRequest(
+                        text, "q", "s", 1, count, 1.5, number, text, List.of(step, step), number);
+        TargetInfo target =
+                new TargetInfo(text, "h:1", "s", "d", count, 1, 2, Set.of("a", text), flag, !flag);
+        List<CellMessage> messages =
+                List.of(
+                        new CellMessage.Offer(number, job, 1, 2, count, number),
+                        new CellMessage.Withdraw(text),
+                        new CellMessage.Decided(text, number, new Verdict.Completed()),
+                        new CellMessage.Decided(text, number, new Verdict.Failed(text)),
+                        new CellMessage.Decided(text, 1, new Verdict.Declined(text, number)),
+                        new CellMessage.Decided(text, number, new Verdict.InDoubt(text)),
+                        new CellMessage.Leading(number, clock, 150),
+                        new CellMessage.Leaving(number),
+                        new CellMessage.Missing(number, count),
+                        new CellMessage.Targets(number, 1, List.of(target, target)),
+                        new CellMessage.Crashed(task, count),
+                        new CellMessage.Following(number, clock, flag, !flag, 1, number, 3));
+        List<PeerMessage.Cell> cells =
+                messages.stream().map(one -> new PeerMessage.Cell("h:1", count, one)).toList();
+        for (PeerMessage.Cell cell : cells) {
+            assertSurvives(cell);
+        }
+        assertSurvives(new PeerMessage.Batch(cells));
+    }
+
+    @Example
+    void everyMessageAboutCellsHasAForm() {
+        for (Class<?> type : CellMessage.class.getPermittedSubclasses()) {
+            long forms =
+                    Arrays.stream(CellFields.values()).filter(fields -> fields.isOf(type)).count();
+            assertWithMessage(type.getSimpleName()).that(forms).isEqualTo(1);
+        }
+    }
+
+    @Property(tries = 200, seed = "5")
+    void aFrameThatEndsTooEarlyIsAnError(@ForAll @IntRange(min = 1, max = 20) int missing)
+            throws WireException {
+        CellMessage leaving = new CellMessage.Withdraw("00000000000000a1");
+        byte[] whole = mCodec.encode(new PeerMessage.Cell("127.0.0.1:7720", 3, leaving));
+        byte[] part = Arrays.copyOf(whole, whole.length - missing);
+        assertThrows(WireException.class, () -> mCodec.decode(part));
+    }
+
     @Property(tries = 2_000, seed = "3")
     void otherBytesAreAnErrorAndNothingElse(@ForAll @Size(max = 200) byte[] bytes) {
         try {
