A new controller waits for the VMs that were there when its term began, not for those that come

Ruled out: the leases themselves (HoldMaxMs, 1 s, inherent); reports of the targets (36 ms).

Change: answers are waited for from the members of the first reading that was asked for in this term; who answers all the same still counts as steady or not. A reading asked for before the term began counts no more (it did before).

--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -133,7 +133,7 @@
         if (event instanceof MemberEvent.Joined joined) {
             joined(joined);
         } else if (event instanceof MemberEvent.PeersListed listed) {
-            peers(listed.peers());
+            peers(listed);
         } else if (event instanceof MemberEvent.Received received) {
             received(received.from(), received.message());
         } else if (event instanceof MemberEvent.ForController control) {
@@ -172,12 +172,12 @@
         return !wantsCell() && mDesk.controller(mClock.monotonicMs()).isPresent();
     }
 
-    private void peers(Set<String> peers) {
-        mFollowers.listed(peers, mClock.monotonicMs());
+    private void peers(MemberEvent.PeersListed listed) {
+        mFollowers.listed(listed.peers(), mClock.monotonicMs());
         if (mController.fence().isEmpty()) {
             return;
         }
-        mBefore.membersListed();
+        mBefore.membersListed(listed.peers(), listed.askedMs());
         settle();
     }
 
@@ -202,7 +202,8 @@
         }
         if (held.isPresent()) {
             Optional<CellMessage.Targets> inherited = targetsBefore();
-            mBefore.termBegan(inherited.map(CellMessage.Targets::fence).orElse(0L));
+            long inheritedFence = inherited.map(CellMessage.Targets::fence).orElse(0L);
+            mBefore.termBegan(inheritedFence, mClock.monotonicMs());
             control(
                     new CellEvent.TermBegan(
                             held.get(), inherited.map(CellMessage.Targets::targets)));
--- a/core/src/main/java/org/boragegap/core/cell/MemberEvent.java
+++ b/core/src/main/java/org/boragegap/core/cell/MemberEvent.java
@@ -19,8 +19,9 @@
      * Who else is in the group.
      *
      * @param peers their peer addresses
+     * @param askedMs when the store was asked, on the monotonic clock, in ms
      */
-    record PeersListed(Set<String> peers) implements MemberEvent {}
+    record PeersListed(Set<String> peers, long askedMs) implements MemberEvent {}
 
     /**
      * A message came from another entry VM.
--- a/core/src/main/java/org/boragegap/core/cell/Predecessors.java
+++ b/core/src/main/java/org/boragegap/core/cell/Predecessors.java
@@ -1,7 +1,9 @@
 package org.boragegap.core.cell;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -44,7 +46,11 @@
 
     private final Map<String, CellMessage.Following> mAnswered = new HashMap<>();
     private long mInheritedFence;
-    private boolean mMembersListed;
+    private long mBeganMs;
+
+    /** Who was in the group when its members were first read in this term; empty before. */
+    private Optional<Set<String>> mFirstMembers = Optional.empty();
+
     private Knowledge mKnown = Knowledge.AWAITS_ANSWERS;
 
     /** Fencing token of this VM's own last term, and when that ended. */
@@ -57,9 +63,10 @@
      *
      * @param inheritedFence token of the term whose targets this one has taken over; 0 for none
      */
-    void termBegan(long inheritedFence) {
+    void termBegan(long inheritedFence, long nowMs) {
+        mBeganMs = nowMs;
         mAnswered.clear();
-        mMembersListed = false;
+        mFirstMembers = Optional.empty();
         mKnown = Knowledge.AWAITS_ANSWERS;
         mInheritedFence = inheritedFence;
     }
@@ -83,9 +90,17 @@
         return over(mOwnFence, ownEndedAgoMs(nowMs));
     }
 
-    /** The group's members were read in this term. */
-    void membersListed() {
-        mMembersListed = true;
+    /**
+     * The group's members were read. The first reading that was asked for in this term counts: who
+     * joins later was in the group at no moment of an earlier term, or has been dropped from it
+     * since, and then its leases are over. Waiting for the answers of all that come while the term
+     * is settled kept callers waiting for 0.7 s after a loss of all VMs, as the slowest of them
+     * started.
+     */
+    void membersListed(Set<String> peers, long askedMs) {
+        if (mFirstMembers.isEmpty() && askedMs >= mBeganMs) {
+            mFirstMembers = Optional.of(Set.copyOf(peers));
+        }
     }
 
     void answered(String peer, CellMessage.Following answer) {
@@ -119,15 +134,22 @@
      * @param steady whether this VM was in touch with the store all the time lately
      */
     Knowledge knowledge(Set<String> peers, boolean steady, long nowMs) {
-        if (!mMembersListed || !mAnswered.keySet().containsAll(peers)) {
+        if (mFirstMembers.isEmpty()) {
+            return Knowledge.AWAITS_ANSWERS;
+        }
+        Set<String> asked = new HashSet<>(mFirstMembers.get());
+        asked.retainAll(peers);
+        if (!mAnswered.keySet().containsAll(asked)) {
             return Knowledge.AWAITS_ANSWERS;
         }
-        if (!mostSteady(peers, steady)) {
+        asked.addAll(mAnswered.keySet());
+        asked.retainAll(peers);
+        if (!mostSteady(asked, steady)) {
             return Knowledge.STORE_WAS_AWAY;
         }
         boolean over = ownOver(nowMs);
         boolean known = over || mOwnFence == mInheritedFence;
-        for (String peer : peers) {
+        for (String peer : asked) {
             CellMessage.Following answer = mAnswered.get(peer);
             boolean peerOver = over(answer.ownFence(), answer.endedAgoMs());
             over &= peerOver;
--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -287,6 +287,7 @@
         if (mStoreDown || vm.mStoreCut) {
             return;
         }
+        long askedMs = clock(vm).monotonicMs();
         after(
                 mHops.storeHop(),
                 () -> {
@@ -294,7 +295,7 @@
                     peers.remove(vm.mAddress);
                     after(
                             mHops.storeHop(),
-                            () -> feed(vm, life, new MemberEvent.PeersListed(peers)));
+                            () -> feed(vm, life, new MemberEvent.PeersListed(peers, askedMs)));
                 });
     }
 
--- a/core/src/test/java/org/boragegap/core/cell/CellMemberTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellMemberTest.java
@@ -33,7 +33,7 @@
 
     private void join(long ms, long generation, boolean holds, String... peers) {
         feed(ms, new MemberEvent.ForController(new CellEvent.DomainsEvacuated(Set.of())));
-        feed(ms, new MemberEvent.PeersListed(Set.of(peers)));
+        feed(ms, new MemberEvent.PeersListed(Set.of(peers), ms));
         feed(ms, new MemberEvent.Joined(generation, holds, at(ms)));
     }
 
@@ -252,7 +252,7 @@
             mMember.deployment(10, 40);
             Set<String> peers = Set.of("vm2", "vm3", "vm4", "vm5", "vm6", "vm7");
             feed(0, new MemberEvent.Joined(3, true, at(0)));
-            feed(0, new MemberEvent.PeersListed(peers));
+            feed(0, new MemberEvent.PeersListed(peers, 0));
             long fence = mMember.fence().get();
             peers.forEach(peer -> hears(5, peer, follows(fence, 0)));
             for (long ms = 10; ms <= 590; ms += 10) {
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -123,9 +123,7 @@
                         settings.number(Setting.GROUP_LEASE_MS),
                         () -> mCells.wanted(),
                         this::joined,
-                        peers ->
-                                mThread.post(
-                                        () -> mCells.onAll(new MemberEvent.PeersListed(peers))));
+                        this::membersRead);
         mLayout =
                 new LayoutKeeper(
                         mStore, mTimer, mGroup::start, mGroup::cpuMillis, this::layoutKnown);
@@ -256,6 +254,10 @@
                 });
     }
 
+    private void membersRead(Set<String> peers, long askedMs) {
+        mThread.post(() -> mCells.onAll(new MemberEvent.PeersListed(peers, askedMs)));
+    }
+
     private void ready(HttpIn in) {
         boolean ready = !mDraining && mJobs.configured() && mCells.servesCallers();
         in.reply(ready ? OK : UNAVAILABLE, "{}");
--- a/entry/src/main/java/org/boragegap/entry/cell/GroupKeeper.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/GroupKeeper.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -58,7 +57,7 @@
     private long mLeaseMs;
     private final Supplier<Set<Integer>> mWanted;
     private final Joined mJoined;
-    private final Consumer<Set<String>> mPeers;
+    private final MembersRead mPeers;
     private volatile Set<String> mMembers = Set.of();
     private volatile long mGeneration;
     private volatile boolean mLeft;
@@ -79,6 +78,17 @@
         void joined(long generation, Set<Integer> held, ClockReading sent);
     }
 
+    /** Takes who is in the group. */
+    interface MembersRead {
+        /**
+         * The store answered.
+         *
+         * @param peers peer addresses of the others
+         * @param askedMs when it was asked, on the monotonic clock, in ms
+         */
+        void read(Set<String> peers, long askedMs);
+    }
+
     GroupKeeper(
             StoreClient store,
             ScheduledExecutorService timer,
@@ -88,7 +98,7 @@
             long leaseMs,
             Supplier<Set<Integer>> wanted,
             Joined joined,
-            Consumer<Set<String>> peers) {
+            MembersRead peers) {
         mStore = store;
         mTimer = timer;
         mAddress = address;
@@ -187,11 +197,14 @@
     }
 
     private void readNow() {
+        long askedMs = HttpCaller.nowMs();
         mStore.members(
-                GROUP, ANSWER_WITHIN_MS, result -> mTimer.execute(() -> membersRead(result)));
+                GROUP,
+                ANSWER_WITHIN_MS,
+                result -> mTimer.execute(() -> membersRead(result, askedMs)));
     }
 
-    private void membersRead(StoreResult<List<GroupMember>> result) {
+    private void membersRead(StoreResult<List<GroupMember>> result, long askedMs) {
         if (!(result instanceof StoreResult.Good<List<GroupMember>> good)) {
             return;
         }
@@ -206,7 +219,7 @@
         }
         peers.remove(mAddress);
         mMembers = members;
-        mPeers.accept(peers);
+        mPeers.read(peers, askedMs);
     }
 
     /** Processor of each VM of the group, as last read, in thousandths of a core. */
