--- a/app/src/main/java/org/boragegap/app/LogSetup.java
+++ b/app/src/main/java/org/boragegap/app/LogSetup.java
@@ -13,7 +13,7 @@
 /**
  * Where log lines go: to the console, behind a bounded buffer that never blocks and drops lines
  * when it is full. Set up here and not by a file: reading one, with the plugins that it may name,
- * was a third of the processor time of a start.
+ * makes a start slower.
  */
 final class LogSetup extends AbstractConfiguration {
     /** Lines that may wait to be written. */
--- a/core/src/main/java/org/boragegap/core/cell/Admission.java
+++ b/core/src/main/java/org/boragegap/core/cell/Admission.java
@@ -7,13 +7,10 @@
  * nothing is in time. A refusal at once costs a caller less than a late answer.
  *
  * <p>Jobs start in the order of their latest start, so a job waits only for what is before it in
- * that order. Counting all that waits refuses short jobs because long ones wait behind them. In a
- * model of 75 slots, share of the worth in time at 1.5 and 1.8 times the mean load: counting all,
- * bound 0.7 of the slack: 0.80 and 0.64, the tightest kind 0.48; counting what is before, bound
- * 0.2: 0.85 and 0.73, the tightest kind 0.90; without refusal 0.20 and 0.15.
+ * that order. Counting all that waits would refuse short jobs because long ones wait behind them.
  */
 final class Admission {
-    /** Share of its slack that a job may be expected to wait; best of 0.15 to 1 in that model. */
+    /** Share of its slack that a job may be expected to wait; estimates are off by more. */
     private static final double MOST_OF_SLACK = 0.2;
 
     /** Least time after which a refused caller is asked to come back, in ms. */
--- a/core/src/main/java/org/boragegap/core/cell/Candidacy.java
+++ b/core/src/main/java/org/boragegap/core/cell/Candidacy.java
@@ -42,8 +42,7 @@
 
     /**
      * How many of the strongest VMs are told; they are the first in order, so the others' word is
-     * of use to them alone. When all told all, the start of 47 VMs with eight cells took 170,000
-     * messages a second, by arithmetic, until a controller was known.
+     * of use to them alone, and messages of all to all grow with the square of the VMs.
      */
     private static final int MOST_TOLD = 12;
 
--- a/core/src/main/java/org/boragegap/core/cell/CellLayout.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellLayout.java
@@ -21,9 +21,8 @@
  */
 public record CellLayout(int cells, long leastLeaseMs) {
     /**
-     * Targets of one cell, about. A controller of 32 targets at 160 jobs/s uses 0.16 of a core;
-     * smaller cells pool less: four cells of eight targets served 14% less than one of 32 in a
-     * model at 1.5 times the mean load.
+     * Targets of one cell, about: what the controller of one core bears; smaller cells pool less
+     * room, and refuse callers while others have some.
      */
     private static final int TARGETS_PER_CELL = 50;
 
--- a/core/src/main/java/org/boragegap/core/cell/HeartbeatPace.java
+++ b/core/src/main/java/org/boragegap/core/cell/HeartbeatPace.java
@@ -24,7 +24,7 @@
 
     /**
      * Longest time between two looks at the clock, in ms: less than half of the 250 ms for which a
-     * caller waits for a controller to be known. Chosen, not measured.
+     * caller waits for a controller to be known.
      */
     private static final long MOST_TICK_MS = 100;
 
--- a/core/src/main/java/org/boragegap/core/cell/Heartbeats.java
+++ b/core/src/main/java/org/boragegap/core/cell/Heartbeats.java
@@ -15,8 +15,8 @@
     private static final int UNSETTLED_TIMES = 4;
 
     /**
-     * Being held up for this long, in ms, halves what a VM's processor counts for. Chosen, not
-     * measured: more than a pause of the garbage collector, less than a silence that counts.
+     * Being held up for this long, in ms, halves what a VM's processor counts for: more than a
+     * pause of the garbage collector, less than a silence that counts.
      */
     private static final long HALVES_MS = 200;
 
--- a/core/src/main/java/org/boragegap/core/cell/JobBook.java
+++ b/core/src/main/java/org/boragegap/core/cell/JobBook.java
@@ -232,8 +232,8 @@
     }
 
     /**
-     * Removes entries from the oldest on; they stand in the order in which they were made. Looking
-     * at each of some thousand a hundred times a second took a sixth of the control thread.
+     * Removes entries from the oldest on; they stand in the order in which they were made, so that
+     * none has to be looked at that stays.
      */
     private static <T> void forgetBefore(
             Collection<T> entries, ToLongFunction<T> atMs, long beforeMs) {
--- a/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
@@ -19,17 +19,14 @@
     /**
      * Least time that a target may wait for an end while answers are lost, in ms. A lost call
      * leaves the controller blind for as long as the target was allowed to wait, so it is sent
-     * again soon after the next end is expected. With a tenth of the orders lost and tasks of 60 to
-     * 900 ms, 0.92 of the worth is in time, 0.85 when calls wait for 300 ms (model, three seeds).
+     * again soon after the next end is expected.
      */
     private static final long LEAST_WAIT_MS = 15;
 
     /**
      * The same where nothing runs, in ms: there is no lease to be extended, and a target that has
-     * died shows by its first start without an answer. It buys fewer calls: 1.1 a second and target
-     * in place of 3.5 where a job comes each ten seconds, 3.5 in place of 5.2 at half of what the
-     * targets can do (model of a cell, 32 targets). Not longer, since each start that goes to a
-     * dead one costs its caller a second.
+     * died shows by its first start without an answer. It buys fewer calls. Not longer, since each
+     * start that goes to a dead one costs its caller a second.
      */
     private static final long IDLE_WAIT_MS = 1_000;
 
--- a/core/src/main/java/org/boragegap/core/cell/Membership.java
+++ b/core/src/main/java/org/boragegap/core/cell/Membership.java
@@ -199,9 +199,7 @@
      * until just now. The wall clock counts too: a VM that was paused through the outage has not
      * seen it on its monotonic clock. Before its first join a process can only have kept a
      * controller in office by saying so, and its earlier life ended before this one began: what
-     * that one said is over a lease after. With two leases, as needed while an answer counted from
-     * its arrival, tasks started 2.66 s after a loss of all VMs in place of 2.2 s (two logged
-     * days).
+     * that one said is over a lease after.
      */
     public boolean steady(ClockReading clock) {
         return clock.monotonicMs() - mUnsteadyMs > mLeaseMs + STEADY_MARGIN_MS;
--- a/core/src/main/java/org/boragegap/core/cell/RoundTrips.java
+++ b/core/src/main/java/org/boragegap/core/cell/RoundTrips.java
@@ -5,8 +5,7 @@
  *
  * <p>The estimate is that of TCP (RFC 6298): a smoothed round trip and its mean deviation. Answers
  * that come after the timeout count too, so a target, or a VM, that has become slow raises its own
- * timeout and is not taken for a network that loses answers. With a tenth of the orders lost 0.92
- * of the worth is in time, 0.72 with a fixed timeout of 250 ms (model, three seeds).
+ * timeout and is not taken for a network that loses answers.
  */
 final class RoundTrips {
     /**
--- a/core/src/main/java/org/boragegap/core/cell/RunLedger.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunLedger.java
@@ -18,8 +18,8 @@
 final class RunLedger {
     /**
      * How long a target to which nothing could be sent is given no work, in ms; some round trips.
-     * Counted as the target's failure instead, it kept sound targets out of use for up to 4 s after
-     * a cut had healed, 11 of 32 at a time.
+     * It doesn't count as the target's failure: sound targets would be out of use for seconds after
+     * a cut had healed.
      */
     private static final long UNREACHABLE_MS = 100;
 
@@ -68,10 +68,7 @@
         return run;
     }
 
-    /**
-     * Logs what was started of a job, on one line: by arithmetic, a line for each run was half of
-     * the lines of a job of three tasks.
-     */
+    /** Logs what was started of a job, on one line: lines cost processor time. */
     void logStarts(CellJob job, List<Run> runs) {
         if (runs.isEmpty()) {
             return;
@@ -285,8 +282,7 @@
 
     /**
      * Logs an end that may tell why a request was late or failed. One that came as expected is told
-     * by the job's own line; these were two fifths of all lines, and those a sixth of the
-     * processor.
+     * by the job's own line.
      */
     private void logEnd(Run run, EndCause cause) {
         long tookMs = mTerm.nowMs() - run.confirmedMs();
--- a/core/src/main/java/org/boragegap/core/cell/TargetHealth.java
+++ b/core/src/main/java/org/boragegap/core/cell/TargetHealth.java
@@ -62,9 +62,9 @@
     /**
      * A target that stands still shows as a run far over its time that has hardly begun.
      *
-     * <p>Guards against sound runs whose end was not heard of: with a tenth of the targets' answers
-     * lost, 79 runs were stopped within 4 s, many of them done, and their targets given a rest. So
-     * only a report that was made after the run should have ended counts.
+     * <p>Guards against sound runs whose end was not heard of, since answers of targets are lost:
+     * runs that were done were stopped, and their targets given a rest. So only a report that was
+     * made after the run should have ended counts.
      */
     boolean isStuck(Run run) {
         boolean seen = run.reportedMs() - run.confirmedMs() > stuckAfterMs(run);
--- a/http/src/main/java/org/boragegap/http/HttpIn.java
+++ b/http/src/main/java/org/boragegap/http/HttpIn.java
@@ -57,9 +57,9 @@
     /**
      * Calls back when the caller closes its connection before the reply; to be called once. The
      * reply ends this: else a connection that a caller keeps open held on to each request that came
-     * over it, memory grew with each, and replies looked through all of them, a sixth of the
-     * control thread after 20 s at 190 requests a second. Reading is switched on for that: the
-     * server doesn't read from a connection that waits for a reply, and would not see the end.
+     * over it, memory grew with each, and replies looked through all of them. Reading is switched
+     * on for that: the server doesn't read from a connection that waits for a reply, and would not
+     * see the end.
      */
     @SuppressWarnings({"rawtypes", "unchecked", "deprecation"})
     public void whenClosed(Runnable left) {
