--- a/core/src/main/java/org/boragegap/core/cell/Predecessors.java
+++ b/core/src/main/java/org/boragegap/core/cell/Predecessors.java
@@ -93,9 +93,10 @@
     /**
      * The group's members were read. The first reading that was asked for in this term counts: who
      * joins later was in the group at no moment of an earlier term, or has been dropped from it
-     * since, and then its leases are over. Waiting for the answers of all that come while the term
-     * is settled kept callers waiting for 0.7 s after a loss of all VMs, as the slowest of them
-     * started.
+     * since, and then its leases are over. Were all waited for that come meanwhile, callers would
+     * wait after a loss of all VMs until the slowest of them has started.
+     *
+     * @param askedMs when the store was asked, on the monotonic clock, in ms
      */
     void membersListed(Set<String> peers, long askedMs) {
         if (mFirstMembers.isEmpty() && askedMs >= mBeganMs) {
--- a/core/src/test/java/org/boragegap/core/cell/CrashingTaskTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CrashingTaskTest.java
@@ -36,6 +36,15 @@
         mCell.reborn(ms + 10, start.target().id());
     }
 
+    /** The job starts on a target that falls silent until the lease of its run is over. */
+    private TargetInfo startAndLapse() {
+        mCell.offer(10, JOB, 1);
+        CellAction.StartRun start = mCell.starts().get(0);
+        mCell.take(12, start);
+        mCell.ticks(20, LAPSED_MS);
+        return start.target();
+    }
+
     @Test
     void afterTwoCrashesTheJobHasFailed() {
         mCell.offer(10, JOB, 1);
@@ -88,11 +97,8 @@
     /** Its targets were beyond a cut and answer again: nothing has crashed. */
     @Test
     void aLapseIsNoCrash() {
-        mCell.offer(10, JOB, 1);
-        CellAction.StartRun start = mCell.starts().get(0);
-        mCell.take(12, start);
-        mCell.ticks(20, LAPSED_MS);
-        mCell.report(LAPSED_MS + 10, start.target().id(), List.of(), List.of());
+        TargetInfo silent = startAndLapse();
+        mCell.report(LAPSED_MS + 10, silent.id(), List.of(), List.of());
         mCell.listed(LAPSED_MS + 20, FIRST, SECOND, ScriptedCell.target("t9", "x:9", "a", 2_000));
         assertThat(mCell.actions(CellAction.TellCrash.class)).isEmpty();
     }
@@ -100,11 +106,7 @@
     /** Its lease lapsed first; seconds later another incarnation is listed in its place. */
     @Test
     void aLapseIsACrashOnceAnotherIncarnationStandsInItsPlace() {
-        mCell.offer(10, JOB, 1);
-        CellAction.StartRun start = mCell.starts().get(0);
-        mCell.take(12, start);
-        mCell.ticks(20, LAPSED_MS);
-        TargetInfo gone = start.target();
+        TargetInfo gone = startAndLapse();
         TargetInfo reborn = ScriptedCell.target("t9", gone.address(), "a", 2_000);
         mCell.listed(LAPSED_MS + 10, reborn);
         assertThat(mCell.actions(CellAction.TellCrash.class))
