--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -166,10 +166,11 @@
     /**
      * Guards against a cell that is dealt to a VM which asks for it no longer: it has heard the
      * controller meanwhile, and would depose it in good health. The group hears of it with the next
-     * join.
+     * join. What this VM has heard of itself, before its own term ended, doesn't count.
      */
     private boolean followsAnother() {
-        return !wantsCell() && mDesk.controller(mClock.monotonicMs()).isPresent();
+        Optional<String> heard = mDesk.controller(mClock.monotonicMs());
+        return !wantsCell() && heard.filter(address -> !address.equals(mSelf)).isPresent();
     }
 
     private void peers(MemberEvent.PeersListed listed) {
--- a/core/src/test/java/org/boragegap/core/cell/CellMemberTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellMemberTest.java
@@ -106,6 +106,29 @@
         }
     }
 
+    /** The group has dealt it the cell while it no longer asks for it. */
+    @Nested
+    final class IsDealtTheCell {
+        /** A controller in good health would be deposed, and its callers wait for the next term. */
+        @Test
+        void butHearsAnotherControlIt() {
+            hears(0, "vm2", new CellMessage.Leading(3_000, SENT, PERIOD_MS));
+            join(10, 4, true, "vm2");
+            assertThat(mMember.fence()).isEmpty();
+        }
+
+        /** It was held up beyond its lease; nobody else has been dealt the cell since. */
+        @Test
+        void afterItsOwnTermHasLapsed() {
+            join(0, 3, true, "vm2");
+            assertThat(mMember.fence()).isPresent();
+            feed(1_050, new MemberEvent.Ticked());
+            assertThat(mMember.fence()).isEmpty();
+            join(1_060, 3, true, "vm2");
+            assertThat(mMember.fence()).isPresent();
+        }
+    }
+
     /**
      * All VMs start at once, or the controller is lost. Callers see one short gap if one VM takes
      * the cell; when each VM asks for it, the group deals it anew with every further one.
