The log line of a crash tells what was known of the run; the answer names the targets

Now the crash line has run, order, ordered_ms and found, and names the target that was lost, not the one that came in its place; the verdict's reason names the targets, so that it reaches the entry VM's answer line. No decision changes: CrashingTaskTest passes unchanged.

--- a/core/src/main/java/org/boragegap/core/cell/CrashAccount.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashAccount.java
@@ -32,17 +32,17 @@
     /** Most tasks of which crashes are remembered. */
     private static final int MOST_TASKS = 2_000;
 
-    private record Count(int crashes, long atMs) {}
+    private record Count(int crashes, List<String> targets, long atMs) {}
 
-    private record Lapsed(String address, List<TaskName> tasks, long atMs) {}
+    private record Lapsed(String address, List<LostRun> runs, long atMs) {}
 
     private final Map<TaskName, Count> mCounts = new LinkedHashMap<>();
     private final Map<String, Lapsed> mLapsed = new HashMap<>();
 
     /** The leases of what ran on the target are over; it may have crashed. */
-    void lapsed(TargetInfo target, Collection<TaskName> tasks, long nowMs) {
-        if (!tasks.isEmpty()) {
-            mLapsed.put(target.id(), new Lapsed(target.address(), List.copyOf(tasks), nowMs));
+    void lapsed(TargetInfo target, List<LostRun> runs, long nowMs) {
+        if (!runs.isEmpty()) {
+            mLapsed.put(target.id(), new Lapsed(target.address(), runs, nowMs));
         }
     }
 
@@ -56,8 +56,8 @@
      *
      * @param incarnation the one that stands there now; empty if it isn't known
      */
-    List<TaskName> takeLapsedAt(String address, String incarnation) {
-        List<TaskName> tasks = new ArrayList<>();
+    List<LostRun> takeLapsedAt(String address, String incarnation) {
+        List<LostRun> runs = new ArrayList<>();
         mLapsed.entrySet()
                 .removeIf(
                         entry -> {
@@ -66,25 +66,31 @@
                                     lapsed.address().equals(address)
                                             && !entry.getKey().equals(incarnation);
                             if (gone) {
-                                tasks.addAll(lapsed.tasks());
+                                runs.addAll(lapsed.runs());
                             }
                             return gone;
                         });
-        return tasks;
+        return runs;
     }
 
     /** A target has crashed under the task; returns how many have by now. */
-    int crashed(TaskName task, long nowMs) {
+    int crashed(TaskName task, String target, long nowMs) {
         int crashes = crashes(task) + 1;
-        told(task, crashes, nowMs);
+        List<String> targets = new ArrayList<>(targets(task));
+        targets.add(target);
+        note(task, crashes, targets, nowMs);
         return crashes;
     }
 
     /** Another VM knows of so many crashes under the task. */
     void told(TaskName task, int crashes, long nowMs) {
+        note(task, crashes, targets(task), nowMs);
+    }
+
+    private void note(TaskName task, int crashes, List<String> targets, long nowMs) {
         Count known = mCounts.remove(task);
         int most = known == null ? crashes : Math.max(known.crashes(), crashes);
-        mCounts.put(task, new Count(most, nowMs));
+        mCounts.put(task, new Count(most, targets, nowMs));
         forget(nowMs);
     }
 
@@ -106,6 +112,12 @@
         return count == null ? 0 : count.crashes();
     }
 
+    /** The targets that this VM has seen crash under the task. */
+    List<String> targets(TaskName task) {
+        Count count = mCounts.get(task);
+        return count == null ? List.of() : count.targets();
+    }
+
     /** True when a target has crashed under the task, by its fault or not. */
     boolean suspects(TaskName task) {
         return !mCounts.isEmpty() && crashes(task) > 0;
--- a/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
@@ -21,7 +21,7 @@
 
     /** The leases of what runs on the target are over, for whatever cause. */
     void lapsed(Target target) {
-        mAccount.lapsed(target.info(), target.runs().keySet(), mTerm.nowMs());
+        mAccount.lapsed(target.info(), LostRun.of(target.runs().values()), mTerm.nowMs());
     }
 
     /** The target has answered; what lapsed on it did so for another cause than a crash. */
@@ -33,32 +33,44 @@
      * Another incarnation has answered in the place of this one. One that was leaving has left; any
      * other has crashed.
      *
-     * @param tasks what ran on it until then
+     * @param runs what ran on it until then
      */
-    void replaced(TargetInfo gone, List<TaskName> tasks) {
-        List<TaskName> lapsed = mAccount.takeLapsedAt(gone.address(), "");
+    void replaced(TargetInfo gone, List<LostRun> runs) {
+        List<LostRun> lapsed = mAccount.takeLapsedAt(gone.address(), "");
         if (!gone.draining()) {
-            count(tasks, gone);
-            count(lapsed, gone);
+            count(runs, "replaced");
+            count(lapsed, "lapsed, then replaced");
         }
     }
 
     /** A target was listed that wasn't before. */
     void appeared(TargetInfo target) {
-        count(mAccount.takeLapsedAt(target.address(), target.id()), target);
+        count(mAccount.takeLapsedAt(target.address(), target.id()), "lapsed, then listed");
     }
 
-    private void count(List<TaskName> tasks, TargetInfo target) {
-        for (TaskName task : tasks) {
-            int crashes = mAccount.crashed(task, mTerm.nowMs());
+    private void count(List<LostRun> runs, String found) {
+        for (LostRun run : runs) {
+            TaskName task = run.task();
+            int crashes = mAccount.crashed(task, run.target(), mTerm.nowMs());
             boolean givenUp = mAccount.givesUp(task);
             mTerm.act(new CellAction.TellCrash(task, crashes));
             mTerm.log(
                     Decision.run(
                             "crash",
                             task,
-                            target.id(),
-                            "crashes=" + crashes + " ran_beside=" + (tasks.size() - 1),
+                            run.target(),
+                            "crashes="
+                                    + crashes
+                                    + " run="
+                                    + run.number()
+                                    + " order="
+                                    + run.state()
+                                    + " ordered_ms="
+                                    + (mTerm.nowMs() - run.orderedMs())
+                                    + " ran_beside="
+                                    + (runs.size() - 1)
+                                    + " found="
+                                    + found,
                             givenUp ? "given up" : "runs alone from now on"));
             if (givenUp) {
                 giveUp(task);
@@ -83,7 +95,9 @@
         return Optional.empty();
     }
 
-    private static Verdict failure(TaskName task) {
-        return new Verdict.Failed("targets have crashed under task " + task.index());
+    private Verdict failure(TaskName task) {
+        String targets = String.join(",", mAccount.targets(task));
+        return new Verdict.Failed(
+                "targets have crashed under task " + task.index() + ": " + targets);
     }
 }
--- a/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
@@ -242,10 +242,10 @@
         if (event.cause() == OrderResult.FENCED) {
             mTerm.act(new CellAction.Deposed());
         } else if (event.cause() == OrderResult.OTHER_INCARNATION) {
-            List<TaskName> tasks = List.copyOf(target.runs().keySet());
+            List<LostRun> runs = LostRun.of(target.runs().values());
             mRuns.allOver(target, "another incarnation");
             mTerm.targets().remove(target.id());
-            mCrashes.replaced(target.info(), tasks);
+            mCrashes.replaced(target.info(), runs);
         }
     }
 
