--- a/core/src/test/java/org/boragegap/core/cell/CrashingTaskTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CrashingTaskTest.java
@@ -57,6 +57,19 @@
         assertThat(mCell.verdicts().get(0)).isInstanceOf(Verdict.Failed.class);
     }
 
+    /**
+     * Guards against an order that its target never took being counted as a crash under the task.
+     */
+    @Test
+    void anOrderToATargetThatIsGoneIsNoCrash() {
+        mCell.offer(10, JOB, 1);
+        startAndCrash(12);
+        CellAction.StartRun notTaken = mCell.starts().get(1);
+        mCell.reborn(40, notTaken.target().id());
+        assertThat(mCell.verdicts()).isEmpty();
+        assertThat(mCell.actions(CellAction.TellCrash.class)).hasSize(1);
+    }
+
     /** The caller's connection broke, and it hands the job in again after a while. */
     @Test
     void handedInAgainItHasFailedStill() {
