Only confirmed runs prove that targets have crashed under a task

Cause: when a target is found replaced by another incarnation, each order that was outstanding there counted as a crash under its task. After a mass crash a task whose first target was truly lost is ordered to a second one that crashed in the same moment and isn't known to be gone; the answer for another incarnation comes within milliseconds, and the order that nobody took was the second 'crash': the job was given up as failed. The class: what is inferred (an order was sent) is taken for what was observed (a run was confirmed), and told to a caller as a fact.

Change: the account holds, by task, the ids of the targets and how surely the task was at work there. A run whose order is unanswered yet says nothing: its answer will. An order without an answer, or a run that was asked to stop, is possible; a confirmed run is confirmed. Two confirmed crashes fail the job, as the platform's rule allows; four of any evidence give it up in doubt, since a task may crash its target before the order is answered. Facts with ids are told to other VMs in place of a count, so that one crash which two controllers have found counts once. Why it works: a job is told as failed only for runs that their targets have confirmed, on two distinct incarnations.

CrashTold and TellCrash carry the target now, so two tests name it; what they assert is as strict.

--- a/core/src/main/java/org/boragegap/core/cell/CellAction.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellAction.java
@@ -62,12 +62,13 @@
     record TellTargets(List<TargetInfo> targets) implements CellAction {}
 
     /**
-     * Tell all entry VMs that targets have crashed under a task, so that a next controller knows.
+     * Tell all entry VMs that a target has crashed under a task, so that a next controller knows.
      *
      * @param task the task
-     * @param crashes how many targets by now
+     * @param target id of the target
+     * @param evidence how surely the task was at work there
      */
-    record TellCrash(TaskName task, int crashes) implements CellAction {}
+    record TellCrash(TaskName task, String target, CrashEvidence evidence) implements CellAction {}
 
     /** Another controller has taken over: this VM must find out who. */
     record Deposed() implements CellAction {}
--- a/core/src/main/java/org/boragegap/core/cell/CellController.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -98,7 +98,7 @@
         } else if (event instanceof CellEvent.DomainsEvacuated evacuated) {
             evacuate(evacuated, actions);
         } else if (event instanceof CellEvent.CrashTold told) {
-            mCrashes.told(told.task(), told.crashes(), clock.monotonicMs());
+            mCrashes.crashed(told.task(), told.target(), told.evidence(), clock.monotonicMs());
         }
         if (mTerm == null) {
             return;
--- a/core/src/main/java/org/boragegap/core/cell/CellEvent.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellEvent.java
@@ -41,12 +41,13 @@
     record DomainsEvacuated(Set<String> domains) implements CellEvent {}
 
     /**
-     * Another controller has seen targets crash under a task.
+     * Another controller has seen a target crash under a task.
      *
      * @param task the task
-     * @param crashes how many targets
+     * @param target id of the target
+     * @param evidence how surely the task was at work there
      */
-    record CrashTold(TaskName task, int crashes) implements CellEvent {}
+    record CrashTold(TaskName task, String target, CrashEvidence evidence) implements CellEvent {}
 
     /**
      * A job that a caller waits for at an entry VM; may come again.
--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -349,7 +349,7 @@
         } else if (message instanceof CellMessage.Targets targets) {
             mTargets.told(targets);
         } else if (message instanceof CellMessage.Crashed crashed) {
-            control(new CellEvent.CrashTold(crashed.task(), crashed.crashes()));
+            control(new CellEvent.CrashTold(crashed.task(), crashed.target(), crashed.evidence()));
         } else if (message instanceof CellMessage.Following following) {
             following(from, following);
         }
@@ -457,7 +457,7 @@
         } else if (action instanceof CellAction.TellTargets told) {
             tellTargets(told.targets());
         } else if (action instanceof CellAction.TellCrash crash) {
-            sendToAll(new CellMessage.Crashed(crash.task(), crash.crashes()));
+            sendToAll(new CellMessage.Crashed(crash.task(), crash.target(), crash.evidence()));
         } else if (action instanceof CellAction.Deposed) {
             deposed(mDesk.fence());
         } else if (action instanceof CellAction.Log log) {
--- a/core/src/main/java/org/boragegap/core/cell/CellMessage.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMessage.java
@@ -77,12 +77,13 @@
     }
 
     /**
-     * Controller to all: targets have crashed under a task, which counts for later terms too.
+     * Controller to all: a target has crashed under a task, which counts for later terms too.
      *
      * @param task the task
-     * @param crashes how many targets by now
+     * @param target id of the target
+     * @param evidence how surely the task was at work there
      */
-    record Crashed(TaskName task, int crashes) implements CellMessage {}
+    record Crashed(TaskName task, String target, CrashEvidence evidence) implements CellMessage {}
 
     /**
      * Answer to {@link Leading}.
--- a/core/src/main/java/org/boragegap/core/cell/CrashAccount.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashAccount.java
@@ -7,10 +7,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
- * Counts, by task, the targets that have crashed while it ran there. Outlives the terms of a
- * controller.
+ * Knows, by task, the targets that have crashed while it was at work there, or may have been.
+ * Outlives the terms of a controller.
  *
  * <p>Guards against a task that crashes whatever starts it. Each start costs the cell a target for
  * some seconds, and the caller hands the job in again when its time is over; unnoticed, one such
@@ -20,8 +21,14 @@
  * until another incarnation answers at that address, or the same one is heard of again.
  */
 final class CrashAccount {
-    /** Crashes after which a task is given up: one may have had another cause. */
-    private static final int CRASHES_TO_GIVE_UP = 2;
+    /** Confirmed crashes after which a task has failed: one may have had another cause. */
+    private static final int CONFIRMED_TO_FAIL = 2;
+
+    /**
+     * Crashes of any evidence after which a task is started no more. A task may crash its target
+     * before the order to start it is answered, so that none is ever confirmed.
+     */
+    private static final int POSSIBLE_TO_GIVE_UP = 4;
 
     /**
      * How long a crash counts, in ms: a caller hands a job in again some seconds after its time is
@@ -32,11 +39,23 @@
     /** Most tasks of which crashes are remembered. */
     private static final int MOST_TASKS = 2_000;
 
-    private record Count(int crashes, List<String> targets, long atMs) {}
+    private record Crashes(Map<String, CrashEvidence> byTarget, long atMs) {
+        static final Crashes NONE = new Crashes(Map.of(), 0);
+
+        Crashes with(String target, CrashEvidence evidence, long nowMs) {
+            Map<String, CrashEvidence> more = new LinkedHashMap<>(byTarget);
+            more.merge(target, evidence, CrashEvidence::or);
+            return new Crashes(more, nowMs);
+        }
+
+        long confirmed() {
+            return byTarget.values().stream().filter(CrashEvidence.CONFIRMED::equals).count();
+        }
+    }
 
     private record Lapsed(String address, List<LostRun> runs, long atMs) {}
 
-    private final Map<TaskName, Count> mCounts = new LinkedHashMap<>();
+    private final Map<TaskName, Crashes> mCrashes = new LinkedHashMap<>();
     private final Map<String, Lapsed> mLapsed = new HashMap<>();
 
     /** The leases of what ran on the target are over; it may have crashed. */
@@ -73,33 +92,24 @@
         return runs;
     }
 
-    /** A target has crashed under the task; returns how many have by now. */
-    int crashed(TaskName task, String target, long nowMs) {
-        int crashes = crashes(task) + 1;
-        List<String> targets = new ArrayList<>(targets(task));
-        targets.add(target);
-        note(task, crashes, targets, nowMs);
-        return crashes;
-    }
-
-    /** Another VM knows of so many crashes under the task. */
-    void told(TaskName task, int crashes, long nowMs) {
-        note(task, crashes, targets(task), nowMs);
-    }
-
-    private void note(TaskName task, int crashes, List<String> targets, long nowMs) {
-        Count known = mCounts.remove(task);
-        int most = known == null ? crashes : Math.max(known.crashes(), crashes);
-        mCounts.put(task, new Count(most, targets, nowMs));
+    /**
+     * A target has crashed under the task, as this VM or another one has found. Told again, it
+     * counts once.
+     */
+    void crashed(TaskName task, String target, CrashEvidence evidence, long nowMs) {
+        Crashes known = crashes(task);
+        // Taken out first: an entry that is written over would keep its place among the oldest.
+        mCrashes.remove(task);
+        mCrashes.put(task, known.with(target, evidence, nowMs));
         forget(nowMs);
     }
 
     /** Drops what is too old or too much, from the oldest on. */
     private void forget(long nowMs) {
-        Iterator<Count> it = mCounts.values().iterator();
+        Iterator<Crashes> it = mCrashes.values().iterator();
         while (it.hasNext()) {
             boolean old = nowMs - it.next().atMs() > KEEP_MS;
-            if (!old && mCounts.size() <= MOST_TASKS) {
+            if (!old && mCrashes.size() <= MOST_TASKS) {
                 break;
             }
             it.remove();
@@ -107,29 +117,40 @@
         mLapsed.values().removeIf(lapsed -> nowMs - lapsed.atMs() > KEEP_MS);
     }
 
-    private int crashes(TaskName task) {
-        Count count = mCounts.get(task);
-        return count == null ? 0 : count.crashes();
+    private Crashes crashes(TaskName task) {
+        return mCrashes.getOrDefault(task, Crashes.NONE);
     }
 
-    /** The targets that this VM has seen crash under the task. */
-    List<String> targets(TaskName task) {
-        Count count = mCounts.get(task);
-        return count == null ? List.of() : count.targets();
+    /** How many targets have crashed under the task, or may have. */
+    int count(TaskName task) {
+        return crashes(task).byTarget().size();
     }
 
     /** True when a target has crashed under the task, by its fault or not. */
     boolean suspects(TaskName task) {
-        return !mCounts.isEmpty() && crashes(task) > 0;
+        return !mCrashes.isEmpty() && mCrashes.containsKey(task);
     }
 
     /** True when a target has crashed under any of the tasks. */
     boolean suspectsAny(Collection<TaskName> tasks) {
-        return !mCounts.isEmpty() && tasks.stream().anyMatch(this::suspects);
+        return !mCrashes.isEmpty() && tasks.stream().anyMatch(this::suspects);
     }
 
-    /** True when so many targets have crashed under the task that it is started no more. */
-    boolean givesUp(TaskName task) {
-        return !mCounts.isEmpty() && crashes(task) >= CRASHES_TO_GIVE_UP;
+    /**
+     * The verdict on the task's job when so many targets have crashed under it that it is started
+     * no more; empty while it may be started. Only confirmed runs prove that the job has failed: an
+     * order may have gone to a target that was down already.
+     */
+    Optional<Verdict> verdictOn(TaskName task) {
+        Crashes crashes = crashes(task);
+        String targets = task.index() + ": " + String.join(",", crashes.byTarget().keySet());
+        if (crashes.confirmed() >= CONFIRMED_TO_FAIL) {
+            return Optional.of(new Verdict.Failed("targets have crashed under task " + targets));
+        }
+        if (crashes.byTarget().size() >= POSSIBLE_TO_GIVE_UP) {
+            return Optional.of(
+                    new Verdict.InDoubt("targets may have crashed under task " + targets));
+        }
+        return Optional.empty();
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/boragegap/core/cell/CrashEvidence.java
@@ -0,0 +1,28 @@
+package org.boragegap.core.cell;
+
+import java.util.Optional;
+
+/** How surely a task was at work on a target when the target crashed. */
+public enum CrashEvidence {
+    /** Nobody knows: its order got no answer, or its end may have gone unheard. */
+    POSSIBLE,
+    /** The target had confirmed the run, and nobody had asked to stop it. */
+    CONFIRMED;
+
+    /**
+     * What a run that is lost with its target says; empty while the answer to its order is under
+     * way, which tells by itself whether the order was taken.
+     */
+    static Optional<CrashEvidence> of(Run run) {
+        return switch (run.state()) {
+            case STARTING -> Optional.empty();
+            case UNSETTLED -> Optional.of(POSSIBLE);
+            case RUNNING -> Optional.of(run.stopAsked() ? POSSIBLE : CONFIRMED);
+        };
+    }
+
+    /** The stronger of two. */
+    CrashEvidence or(CrashEvidence other) {
+        return this == CONFIRMED ? this : other;
+    }
+}
--- a/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
@@ -51,53 +51,47 @@
     private void count(List<LostRun> runs, String found) {
         for (LostRun run : runs) {
             TaskName task = run.task();
-            int crashes = mAccount.crashed(task, run.target(), mTerm.nowMs());
-            boolean givenUp = mAccount.givesUp(task);
-            mTerm.act(new CellAction.TellCrash(task, crashes));
-            mTerm.log(
-                    Decision.run(
-                            "crash",
-                            task,
-                            run.target(),
-                            "crashes="
-                                    + crashes
-                                    + " run="
-                                    + run.number()
-                                    + " order="
-                                    + run.state()
-                                    + " ordered_ms="
-                                    + (mTerm.nowMs() - run.orderedMs())
-                                    + " ran_beside="
-                                    + (runs.size() - 1)
-                                    + " found="
-                                    + found,
-                            givenUp ? "given up" : "runs alone from now on"));
-            if (givenUp) {
-                giveUp(task);
-            }
+            mAccount.crashed(task, run.target(), run.evidence(), mTerm.nowMs());
+            mTerm.act(new CellAction.TellCrash(task, run.target(), run.evidence()));
+            Optional<Verdict> verdict = mAccount.verdictOn(task);
+            log(run, runs.size() - 1, found, verdict.isPresent());
+            verdict.ifPresent(end -> giveUp(task, end));
         }
     }
 
-    private void giveUp(TaskName task) {
+    private void log(LostRun run, int beside, String found, boolean givenUp) {
+        String inputs =
+                "crashes="
+                        + mAccount.count(run.task())
+                        + " run="
+                        + run.number()
+                        + " evidence="
+                        + run.evidence()
+                        + " ordered_ms="
+                        + (mTerm.nowMs() - run.orderedMs())
+                        + " ran_beside="
+                        + beside
+                        + " found="
+                        + found;
+        String outcome = givenUp ? "given up" : "runs alone from now on";
+        mTerm.log(Decision.run("crash", run.task(), run.target(), inputs, outcome));
+    }
+
+    private void giveUp(TaskName task, Verdict verdict) {
         CellJob job = mTerm.jobs().get(task.job());
         if (job != null) {
-            mJobs.end(job, failure(task));
+            mJobs.end(job, verdict);
         }
     }
 
     /** The verdict on a job one of whose tasks was given up; empty if none was. */
     Optional<Verdict> verdictOn(CellJob job) {
         for (CellTask task : job.tasks()) {
-            if (mAccount.givesUp(task.name())) {
-                return Optional.of(failure(task.name()));
+            Optional<Verdict> verdict = mAccount.verdictOn(task.name());
+            if (verdict.isPresent()) {
+                return verdict;
             }
         }
         return Optional.empty();
     }
-
-    private Verdict failure(TaskName task) {
-        String targets = String.join(",", mAccount.targets(task));
-        return new Verdict.Failed(
-                "targets have crashed under task " + task.index() + ": " + targets);
-    }
 }
--- a/core/src/main/java/org/boragegap/core/cell/LostRun.java
+++ b/core/src/main/java/org/boragegap/core/cell/LostRun.java
@@ -1,5 +1,6 @@
 package org.boragegap.core.cell;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 
@@ -9,18 +10,22 @@
  * @param task the task
  * @param number the run's number
  * @param target id of the target
- * @param state how far the order to start had come
+ * @param evidence how surely it was at work there
  * @param orderedMs when it was ordered
  */
-record LostRun(TaskName task, int number, String target, Run.State state, long orderedMs) {
+record LostRun(TaskName task, int number, String target, CrashEvidence evidence, long orderedMs) {
 
-    /** The runs on a target, as they are known now. */
+    /** The runs on a target that were at work there, or may have been. */
     static List<LostRun> of(Collection<Run> runs) {
-        return runs.stream().map(LostRun::of).toList();
+        List<LostRun> lost = new ArrayList<>();
+        for (Run run : runs) {
+            CrashEvidence.of(run).ifPresent(evidence -> lost.add(of(run, evidence)));
+        }
+        return lost;
     }
 
-    private static LostRun of(Run run) {
+    private static LostRun of(Run run, CrashEvidence evidence) {
         return new LostRun(
-                run.task().name(), run.number(), run.target().id(), run.state(), run.orderedMs());
+                run.task().name(), run.number(), run.target().id(), evidence, run.orderedMs());
     }
 }
--- a/core/src/test/java/org/boragegap/core/cell/CrashingTaskTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CrashingTaskTest.java
@@ -87,18 +87,70 @@
     /** The other VMs are told: the next controller may be any of them. */
     @Test
     void aNextControllerKnowsWhatTheOneBeforeHasSeen() {
-        mCell.on(5, new CellEvent.CrashTold(TASK, 1));
+        told("t0", CrashEvidence.CONFIRMED);
         mCell.offer(10, JOB, 1);
+        String crashed = mCell.startedOn().get(0);
         startAndCrash(12);
         assertThat(mCell.actions(CellAction.TellCrash.class))
-                .containsExactly(new CellAction.TellCrash(TASK, 2));
+                .containsExactly(crash(crashed, CrashEvidence.CONFIRMED));
         assertThat(mCell.verdicts().get(0)).isInstanceOf(Verdict.Failed.class);
     }
 
+    /** Guards against one crash that two controllers have found being counted twice. */
+    @Test
+    void aCrashThatIsToldTwiceCountsOnce() {
+        told("t0", CrashEvidence.CONFIRMED);
+        told("t0", CrashEvidence.CONFIRMED);
+        mCell.offer(10, JOB, 1);
+        assertThat(mCell.starts()).hasSize(1);
+        assertThat(mCell.verdicts()).isEmpty();
+    }
+
+    /** Guards against a job shown as failed though no target has confirmed a run of it. */
+    @Test
+    void crashesWithoutAConfirmedRunFailNoJob() {
+        for (String target : List.of("c1", "c2", "c3")) {
+            told(target, CrashEvidence.POSSIBLE);
+        }
+        mCell.offer(10, JOB, 1);
+        assertThat(mCell.starts()).hasSize(1);
+        assertThat(mCell.verdicts()).isEmpty();
+    }
+
+    /** Guards against a task that crashes its targets before they answer being started for ever. */
+    @Test
+    void afterFourUnconfirmedCrashesItIsGivenUpInDoubt() {
+        for (String target : List.of("c1", "c2", "c3", "c4")) {
+            told(target, CrashEvidence.POSSIBLE);
+        }
+        mCell.offer(10, JOB, 1);
+        assertThat(mCell.starts()).isEmpty();
+        assertThat(mCell.verdicts().get(0)).isInstanceOf(Verdict.InDoubt.class);
+    }
+
+    /** Guards against a lost answer to a start being taken for a confirmed run. */
+    @Test
+    void aRunThatWasNeverConfirmedMayHaveCrashedItsTarget() {
+        mCell.offer(10, JOB, 1);
+        CellAction.StartRun start = mCell.starts().get(0);
+        mCell.unanswered(300, start);
+        mCell.reborn(800, start.target().id());
+        assertThat(mCell.actions(CellAction.TellCrash.class))
+                .containsExactly(crash(start.target().id(), CrashEvidence.POSSIBLE));
+    }
+
+    private void told(String target, CrashEvidence evidence) {
+        mCell.on(5, new CellEvent.CrashTold(TASK, target, evidence));
+    }
+
+    private static CellAction.TellCrash crash(String target, CrashEvidence evidence) {
+        return new CellAction.TellCrash(TASK, target, evidence);
+    }
+
     /** One that has crashed a target would take others' tasks with it if they ran beside it. */
     @Test
     void aSuspectedTaskRunsAlone() {
-        mCell.on(5, new CellEvent.CrashTold(TASK, 1));
+        told("t0", CrashEvidence.POSSIBLE);
         mCell.offer(10, JOB, 1);
         mCell.offer(11, OTHER_JOB, 3);
         List<CellAction.StartRun> starts = mCell.starts();
@@ -123,7 +175,7 @@
         TargetInfo reborn = ScriptedCell.target("t9", gone.address(), "a", 2_000);
         mCell.listed(LAPSED_MS + 10, reborn);
         assertThat(mCell.actions(CellAction.TellCrash.class))
-                .containsExactly(new CellAction.TellCrash(TASK, 1));
+                .containsExactly(crash(gone.id(), CrashEvidence.CONFIRMED));
     }
 
     /** It was leaving as planned, and what ran there was killed with it. */
--- a/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
+++ b/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
@@ -95,6 +95,14 @@
                         start.target().id(), start.task(), start.run(), OrderResult.DONE));
     }
 
+    /** The answer to a start is lost. */
+    void unanswered(long ms, CellAction.StartRun start) {
+        on(
+                ms,
+                new CellEvent.StartAnswered(
+                        start.target().id(), start.task(), start.run(), OrderResult.UNKNOWN));
+    }
+
     <T extends CellAction> List<T> actions(Class<T> kind) {
         return mActions.stream().filter(kind::isInstance).map(kind::cast).toList();
     }
--- a/wire/src/main/java/org/boragegap/wire/CellFields.java
+++ b/wire/src/main/java/org/boragegap/wire/CellFields.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.boragegap.core.cell.CellMessage;
+import org.boragegap.core.cell.CrashEvidence;
 import org.boragegap.core.cell.TargetInfo;
+import org.boragegap.core.cell.TaskName;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -127,12 +129,17 @@
         void packFields(MessagePacker packer, CellMessage message) throws IOException {
             CellMessage.Crashed crashed = (CellMessage.Crashed) message;
             RecordFields.packTask(packer, crashed.task());
-            packer.packInt(crashed.crashes());
+            packer.packString(crashed.target());
+            packer.packBoolean(crashed.evidence() == CrashEvidence.CONFIRMED);
         }
 
         @Override
         CellMessage unpack(MessageUnpacker unpacker) throws IOException {
-            return new CellMessage.Crashed(RecordFields.unpackTask(unpacker), unpacker.unpackInt());
+            TaskName task = RecordFields.unpackTask(unpacker);
+            String target = unpacker.unpackString();
+            boolean confirmed = unpacker.unpackBoolean();
+            return new CellMessage.Crashed(
+                    task, target, confirmed ? CrashEvidence.CONFIRMED : CrashEvidence.POSSIBLE);
         }
     },
     FOLLOWING(CellMessage.Following.class) {
--- a/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
+++ b/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
@@ -15,6 +15,7 @@
 import net.jqwik.api.constraints.Size;
 import org.boragegap.core.ClockReading;
 import org.boragegap.core.cell.CellMessage;
+import org.boragegap.core.cell.CrashEvidence;
 import org.boragegap.core.cell.JobRequest;
 import org.boragegap.core.cell.StepRequest;
 import org.boragegap.core.cell.TargetInfo;
@@ -97,7 +98,8 @@
                         new CellMessage.Leaving(number),
                         new CellMessage.Missing(number, count),
                         new CellMessage.Targets(number, 1, List.of(target, target)),
-                        new CellMessage.Crashed(task, count),
+                        new CellMessage.Crashed(task, text, CrashEvidence.CONFIRMED),
+                        new CellMessage.Crashed(task, text, CrashEvidence.POSSIBLE),
                         new CellMessage.Following(number, clock, flag, !flag, 1, number, 3));
         List<PeerMessage.Cell> cells =
                 messages.stream().map(one -> new PeerMessage.Cell("h:1", count, one)).toList();
