A start that another incarnation answers retires its target at once

Callers saw late answers after a mass crash: the answer to a start named another incarnation, the run was released, and the task was ordered to the same gone target again, until the standing lease call there was answered too. Runs that were lost with it waited as well. Besides, that answer counted as a sign of life of the target that was gone.

Only lease calls retired a replaced target.

Change: an answer for another incarnation retires the target whatever order it answers (LeaseKeeper.replaced); OrderResult.fromTarget says which results are the target's own words.

ReplacedTargetTest.theTaskGoesToAnotherTarget (expected not to be: t1) and theLostRunStartsElsewhereAtOnce failed before and pass; theOrderIsNoCrash passed before, too.

--- a/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
@@ -242,13 +242,18 @@
         if (event.cause() == OrderResult.FENCED) {
             mTerm.act(new CellAction.Deposed());
         } else if (event.cause() == OrderResult.OTHER_INCARNATION) {
-            List<LostRun> runs = LostRun.of(target.runs().values());
-            mRuns.allOver(target, "another incarnation");
-            mTerm.targets().remove(target.id());
-            mCrashes.replaced(target.info(), runs);
+            replaced(target);
         }
     }
 
+    /** Another incarnation answers at the target's address: all that ran there has ended. */
+    void replaced(Target target) {
+        List<LostRun> runs = LostRun.of(target.runs().values());
+        mRuns.allOver(target, "another incarnation");
+        mTerm.targets().remove(target.id());
+        mCrashes.replaced(target.info(), runs);
+    }
+
     void tick() {
         for (Target target : new ArrayList<>(mTerm.targets().values())) {
             if (lapsed(target)) {
--- a/core/src/main/java/org/boragegap/core/cell/OrderResult.java
+++ b/core/src/main/java/org/boragegap/core/cell/OrderResult.java
@@ -17,5 +17,10 @@
     /** Another incarnation answers at the address. */
     OTHER_INCARNATION,
     /** No answer; it may run now or seconds later. */
-    UNKNOWN
+    UNKNOWN;
+
+    /** True when the target that the order was for has answered it. */
+    boolean fromTarget() {
+        return this != UNKNOWN && this != NOT_SENT && this != OTHER_INCARNATION;
+    }
 }
--- a/core/src/main/java/org/boragegap/core/cell/RunLedger.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunLedger.java
@@ -105,12 +105,13 @@
         if (target == null) {
             return;
         }
-        boolean heard =
-                event.result() != OrderResult.UNKNOWN && event.result() != OrderResult.NOT_SENT;
-        if (heard) {
+        if (event.result().fromTarget()) {
             mLeases.heardOf(target);
         }
         target.run(event.task(), event.run()).ifPresent(run -> answered(run, event.result()));
+        if (event.result() == OrderResult.OTHER_INCARNATION) {
+            mLeases.replaced(target);
+        }
     }
 
     private void answered(Run run, OrderResult result) {
--- a/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
+++ b/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
@@ -89,18 +89,16 @@
 
     /** The target takes a start. */
     void take(long ms, CellAction.StartRun start) {
-        on(
-                ms,
-                new CellEvent.StartAnswered(
-                        start.target().id(), start.task(), start.run(), OrderResult.DONE));
+        answer(ms, start, OrderResult.DONE);
     }
 
     /** The answer to a start is lost. */
     void unanswered(long ms, CellAction.StartRun start) {
-        on(
-                ms,
-                new CellEvent.StartAnswered(
-                        start.target().id(), start.task(), start.run(), OrderResult.UNKNOWN));
+        answer(ms, start, OrderResult.UNKNOWN);
+    }
+
+    void answer(long ms, CellAction.StartRun start, OrderResult result) {
+        on(ms, new CellEvent.StartAnswered(start.target().id(), start.task(), start.run(), result));
     }
 
     <T extends CellAction> List<T> actions(Class<T> kind) {
