A planned leave whose lease lapses first is no crash

Callers would see a job failed whose targets had left as planned, twice: with a restart longer than a lease the leaving target lapses, another incarnation is listed at its address, and what had run there was counted as crashed. Only the other way, a call answered by the new incarnation, looked at whether the target had announced its leave.

Change: a lapse of a target that has announced its leave isn't kept. aTargetThatWasLeavingHasNotCrashedWhenItsLeaseLapses failed before.

--- a/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
@@ -19,8 +19,11 @@
         mJobs = jobs;
     }
 
-    /** The leases of what runs on the target are over, for whatever cause. */
+    /** The leases of what runs on the target are over; one that was leaving has left. */
     void lapsed(Target target) {
+        if (target.info().draining()) {
+            return;
+        }
         mAccount.lapsed(target.info(), LostRun.of(target.runs().values()), mTerm.nowMs());
     }
 
--- a/core/src/test/java/org/boragegap/core/cell/CrashingTaskTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CrashingTaskTest.java
@@ -183,23 +183,24 @@
     void aTargetThatWasLeavingHasNotCrashed() {
         mCell.offer(10, JOB, 1);
         TargetInfo info = mCell.starts().get(0).target();
-        TargetInfo leaving =
-                new TargetInfo(
-                        info.id(),
-                        info.address(),
-                        info.service(),
-                        info.failureDomain(),
-                        info.cpuMillis(),
-                        info.memoryMb(),
-                        info.accelerators(),
-                        info.labels(),
-                        false,
-                        true);
-        mCell.listed(15, leaving);
+        mCell.listed(15, ScriptedCell.leaving(info));
         mCell.reborn(20, info.id());
         assertThat(mCell.actions(CellAction.TellCrash.class)).isEmpty();
     }
 
+    /** Guards against a planned leave whose lease lapses first being counted as a crash. */
+    @Test
+    void aTargetThatWasLeavingHasNotCrashedWhenItsLeaseLapses() {
+        mCell.offer(10, JOB, 1);
+        CellAction.StartRun start = mCell.starts().get(0);
+        TargetInfo info = start.target();
+        mCell.take(12, start);
+        mCell.listed(15, ScriptedCell.leaving(info));
+        mCell.ticks(20, LAPSED_MS);
+        mCell.listed(LAPSED_MS + 10, ScriptedCell.target("t9", info.address(), "a", 2_000));
+        assertThat(mCell.actions(CellAction.TellCrash.class)).isEmpty();
+    }
+
     /** A crashed target is back at once as a sound one: the task was at fault, not the target. */
     @Test
     void noHealthyTargetIsKeptOutForIt() {
--- a/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
+++ b/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
@@ -21,6 +21,21 @@
                 id, address, "service", domain, cpuMillis, 100, 0, Set.of(), false, false);
     }
 
+    /** The same target, which says that it will leave. */
+    static TargetInfo leaving(TargetInfo info) {
+        return new TargetInfo(
+                info.id(),
+                info.address(),
+                info.service(),
+                info.failureDomain(),
+                info.cpuMillis(),
+                info.memoryMb(),
+                info.accelerators(),
+                info.labels(),
+                info.guarded(),
+                true);
+    }
+
     void on(long ms, CellEvent event) {
         mController.actsUntil(ms + LEASE_MS);
         mController.on(event, new ClockReading(ms, ms), mActions);
