A target is replaced by its successor alone, not by an entry of its predecessor

Callers would see a job failed for a crash that didn't happen: what had lapsed was looked up by address, so that a target beyond a cut counted as crashed when it answered a call for its predecessor itself, or when the predecessor's stale entry was listed again. After each crash the dead target was taken up again with every read of the list while its entry stood, and called again.

Change: what lapsed is kept by target id; a target that has been found replaced is remembered for a minute and its entry is passed over.

ReplacedTargetTest.Successor: all three tests failed before and pass.

--- a/core/src/main/java/org/boragegap/core/cell/CrashAccount.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashAccount.java
@@ -70,25 +70,21 @@
         mLapsed.remove(target);
     }
 
-    /**
-     * Takes what lapsed at an address whose earlier incarnations are gone; it counts once.
-     *
-     * @param incarnation the one that stands there now; empty if it isn't known
-     */
-    List<LostRun> takeLapsedAt(String address, String incarnation) {
+    /** Takes what lapsed on a target that is gone; it counts once. */
+    List<LostRun> takeLapsed(String target) {
+        Lapsed lapsed = mLapsed.remove(target);
+        return lapsed == null ? List.of() : lapsed.runs();
+    }
+
+    /** Takes what lapsed on earlier targets at the address of a new one; it counts once. */
+    List<LostRun> takeLapsedBefore(TargetInfo successor) {
         List<LostRun> runs = new ArrayList<>();
-        mLapsed.entrySet()
-                .removeIf(
-                        entry -> {
-                            Lapsed lapsed = entry.getValue();
-                            boolean gone =
-                                    lapsed.address().equals(address)
-                                            && !entry.getKey().equals(incarnation);
-                            if (gone) {
-                                runs.addAll(lapsed.runs());
-                            }
-                            return gone;
-                        });
+        for (String target : List.copyOf(mLapsed.keySet())) {
+            boolean there = mLapsed.get(target).address().equals(successor.address());
+            if (there && !target.equals(successor.id())) {
+                runs.addAll(takeLapsed(target));
+            }
+        }
         return runs;
     }
 
--- a/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
@@ -39,7 +39,7 @@
      * @param runs what ran on it until then
      */
     void replaced(TargetInfo gone, List<LostRun> runs) {
-        List<LostRun> lapsed = mAccount.takeLapsedAt(gone.address(), "");
+        List<LostRun> lapsed = mAccount.takeLapsed(gone.id());
         if (!gone.draining()) {
             count(runs, "replaced");
             count(lapsed, "lapsed, then replaced");
@@ -48,7 +48,7 @@
 
     /** A target was listed that wasn't before. */
     void appeared(TargetInfo target) {
-        count(mAccount.takeLapsedAt(target.address(), target.id()), "lapsed, then listed");
+        count(mAccount.takeLapsedBefore(target), "lapsed, then listed");
     }
 
     private void count(List<LostRun> runs, String found) {
--- a/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
@@ -1,8 +1,10 @@
 package org.boragegap.core.cell;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /** Keeps the list of targets, extends their leases and asks for their reports. */
@@ -45,6 +47,9 @@
      */
     private static final long UNLISTED_GRACE_MS = 2_500;
 
+    /** How long an entry in the list may outlast its target, in ms; stale reads included. */
+    private static final long ENTRY_OUTLASTS_MS = 60_000;
+
     /**
      * A target is given no work for this time after it was first seen, in ms: the other entry VMs
      * are told of it first, so that a next controller knows where to look for what runs.
@@ -57,6 +62,9 @@
     private long mNextCall = 1;
     private List<TargetInfo> mAnnounced = List.of();
 
+    /** Targets that are gone for good, and since when; the list may still name them. */
+    private final Map<String, Long> mReplaced = new HashMap<>();
+
     LeaseKeeper(Term term, RunLedger runs, CrashWatch crashes) {
         mTerm = term;
         mRuns = runs;
@@ -81,6 +89,9 @@
         Set<String> ids = new HashSet<>();
         for (TargetInfo info : infos) {
             ids.add(info.id());
+            if (mReplaced.containsKey(info.id())) {
+                continue;
+            }
             Target known = mTerm.targets().get(info.id());
             if (known == null) {
                 long openMs = mTerm.nowMs() + ANNOUNCE_MS;
@@ -251,10 +262,12 @@
         List<LostRun> runs = LostRun.of(target.runs().values());
         mRuns.allOver(target, "another incarnation");
         mTerm.targets().remove(target.id());
+        mReplaced.put(target.id(), mTerm.nowMs());
         mCrashes.replaced(target.info(), runs);
     }
 
     void tick() {
+        mReplaced.values().removeIf(sinceMs -> mTerm.nowMs() - sinceMs > ENTRY_OUTLASTS_MS);
         for (Target target : new ArrayList<>(mTerm.targets().values())) {
             if (lapsed(target)) {
                 mTerm.log(
--- a/core/src/test/java/org/boragegap/core/cell/ReplacedTargetTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/ReplacedTargetTest.java
@@ -77,4 +77,59 @@
             assertThat(mCell.startedOn()).doesNotContain(lost.target().id());
         }
     }
+
+    @Nested
+    class Successor {
+        private static final long LAPSED_MS = 7_000;
+        private static final TargetInfo REBORN = ScriptedCell.target("t9", "x:1", "a", 2_000);
+
+        /** The first is found gone, its successor takes a task and falls silent until it lapses. */
+        private void runOnTheSuccessorUntilItLapses() {
+            mCell.reborn(10, FIRST.id());
+            mCell.listed(20, ScriptedCell.leaving(SECOND), REBORN);
+            mCell.report(30, REBORN.id(), List.of(), List.of());
+            mCell.on(300, new CellEvent.Ticked());
+            mCell.report(310, REBORN.id(), List.of(), List.of());
+            mCell.offer(320, JOB, 1);
+            CellAction.StartRun start = mCell.starts().get(0);
+            assertThat(start.target().id()).isEqualTo(REBORN.id());
+            mCell.take(330, start);
+            mCell.ticks(340, LAPSED_MS);
+            mCell.forget();
+        }
+
+        /** Guards against the entry of a target that is gone being taken for a later one. */
+        @Test
+        void itIsNotReplacedByAnEntryOfItsPredecessor() {
+            runOnTheSuccessorUntilItLapses();
+            mCell.listed(LAPSED_MS + 10, FIRST, SECOND, REBORN);
+            assertThat(mCell.actions(CellAction.TellCrash.class)).isEmpty();
+        }
+
+        /** Guards against a target that answers being taken for crashed by its own answer. */
+        @Test
+        void itHasNotCrashedWhenItAnswersForItsPredecessor() {
+            mCell.ticks(20, 3_000);
+            mCell.listed(3_010, FIRST, SECOND, REBORN);
+            mCell.report(3_020, REBORN.id(), List.of(), List.of());
+            mCell.on(3_300, new CellEvent.Ticked());
+            mCell.report(3_310, REBORN.id(), List.of(), List.of());
+            mCell.offer(3_320, JOB, 1);
+            CellAction.StartRun start = mCell.starts().get(0);
+            assertThat(start.target().id()).isEqualTo(REBORN.id());
+            mCell.take(3_330, start);
+            mCell.ticks(3_340, 9_000);
+            mCell.reborn(9_010, FIRST.id());
+            assertThat(mCell.actions(CellAction.TellCrash.class)).isEmpty();
+        }
+
+        /** Guards against calls to a target that is gone for as long as its entry stands. */
+        @Test
+        void nothingMoreIsSentToThePredecessor() {
+            mCell.reborn(10, FIRST.id());
+            int calls = mCell.actions(CellAction.ExtendLease.class).size();
+            mCell.listed(20, FIRST, SECOND);
+            assertThat(mCell.actions(CellAction.ExtendLease.class)).hasSize(calls);
+        }
+    }
 }
