Crashes and lapses count for a minute, also when nothing is noted meanwhile

Callers would see a job failed on arrival for crashes of minutes ago: what is too old was dropped only when something new was noted. Now it is dropped before it is used, too.

crashesOfLongAgoCountNoMore and aLapseOfLongAgoIsNoCrash failed before.

--- a/core/src/main/java/org/boragegap/core/cell/CrashAccount.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashAccount.java
@@ -71,13 +71,19 @@
     }
 
     /** Takes what lapsed on a target that is gone; it counts once. */
-    List<LostRun> takeLapsed(String target) {
+    List<LostRun> takeLapsed(String target, long nowMs) {
+        forget(nowMs);
+        return takeLapsed(target);
+    }
+
+    private List<LostRun> takeLapsed(String target) {
         Lapsed lapsed = mLapsed.remove(target);
         return lapsed == null ? List.of() : lapsed.runs();
     }
 
     /** Takes what lapsed on earlier targets at the address of a new one; it counts once. */
-    List<LostRun> takeLapsedBefore(TargetInfo successor) {
+    List<LostRun> takeLapsedBefore(TargetInfo successor, long nowMs) {
+        forget(nowMs);
         List<LostRun> runs = new ArrayList<>();
         for (String target : List.copyOf(mLapsed.keySet())) {
             boolean there = mLapsed.get(target).address().equals(successor.address());
@@ -137,7 +143,11 @@
      * no more; empty while it may be started. Only confirmed runs prove that the job has failed: an
      * order may have gone to a target that was down already.
      */
-    Optional<Verdict> verdictOn(TaskName task) {
+    Optional<Verdict> verdictOn(TaskName task, long nowMs) {
+        if (mCrashes.isEmpty()) {
+            return Optional.empty();
+        }
+        forget(nowMs);
         Crashes crashes = crashes(task);
         String targets = task.index() + ": " + String.join(",", crashes.byTarget().keySet());
         if (crashes.confirmed() >= CONFIRMED_TO_FAIL) {
--- a/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
@@ -39,7 +39,7 @@
      * @param runs what ran on it until then
      */
     void replaced(TargetInfo gone, List<LostRun> runs) {
-        List<LostRun> lapsed = mAccount.takeLapsed(gone.id());
+        List<LostRun> lapsed = mAccount.takeLapsed(gone.id(), mTerm.nowMs());
         if (!gone.draining()) {
             count(runs, "replaced");
             count(lapsed, "lapsed, then replaced");
@@ -48,7 +48,7 @@
 
     /** A target was listed that wasn't before. */
     void appeared(TargetInfo target) {
-        count(mAccount.takeLapsedBefore(target), "lapsed, then listed");
+        count(mAccount.takeLapsedBefore(target, mTerm.nowMs()), "lapsed, then listed");
     }
 
     private void count(List<LostRun> runs, String found) {
@@ -56,7 +56,7 @@
             TaskName task = run.task();
             mAccount.crashed(task, run.target(), run.evidence(), mTerm.nowMs());
             mTerm.act(new CellAction.TellCrash(task, run.target(), run.evidence()));
-            Optional<Verdict> verdict = mAccount.verdictOn(task);
+            Optional<Verdict> verdict = mAccount.verdictOn(task, mTerm.nowMs());
             log(run, runs.size() - 1, found, verdict.isPresent());
             verdict.ifPresent(end -> giveUp(task, end));
         }
@@ -90,7 +90,7 @@
     /** The verdict on a job one of whose tasks was given up; empty if none was. */
     Optional<Verdict> verdictOn(CellJob job) {
         for (CellTask task : job.tasks()) {
-            Optional<Verdict> verdict = mAccount.verdictOn(task.name());
+            Optional<Verdict> verdict = mAccount.verdictOn(task.name(), mTerm.nowMs());
             if (verdict.isPresent()) {
                 return verdict;
             }
--- a/core/src/test/java/org/boragegap/core/cell/CrashingTaskTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CrashingTaskTest.java
@@ -21,6 +21,9 @@
     /** By then the leases of a silent target are over: calls to it extend them less and less. */
     private static final long LAPSED_MS = 6_000;
 
+    /** By then what happened in the first seconds counts no more. */
+    private static final long FORGOTTEN_MS = 120_000;
+
     private final ScriptedCell mCell = new ScriptedCell();
 
     @BeforeEach
@@ -139,6 +142,27 @@
                 .containsExactly(crash(start.target().id(), CrashEvidence.POSSIBLE));
     }
 
+    /** Guards against crashes and lapses that count however long ago they were. */
+    @Test
+    void crashesOfLongAgoCountNoMore() {
+        told("c1", CrashEvidence.CONFIRMED);
+        told("c2", CrashEvidence.CONFIRMED);
+        mCell.offer(FORGOTTEN_MS, JOB, 1);
+        assertThat(mCell.verdicts()).isEmpty();
+    }
+
+    /** Guards against a lapse that counts as a crash however long ago it was. */
+    @Test
+    void aLapseOfLongAgoIsNoCrash() {
+        TargetInfo gone = startAndLapse();
+        mCell.listed(FORGOTTEN_MS, successorOf(gone));
+        assertThat(mCell.actions(CellAction.TellCrash.class)).isEmpty();
+    }
+
+    private static TargetInfo successorOf(TargetInfo gone) {
+        return ScriptedCell.target("t9", gone.address(), "a", 2_000);
+    }
+
     private void told(String target, CrashEvidence evidence) {
         mCell.on(5, new CellEvent.CrashTold(TASK, target, evidence));
     }
