Late word of a crash ends no job whose task is done or at work

Callers would see a job failed though the task in question was done, or a sound run of it stopped: word of a crash comes up to seconds after it, when the task has long been started elsewhere, and ended the job at once.

Change: a task is given up when it would have to start again, not before: at the news of the crash if it is idle, or when its run ends or is lost. So a sound run may still complete the job, and a task that crashes its targets is still started no more after the second confirmed crash.

aTaskThatIsDoneIsNotGivenUp and aRunThatIsAtWorkGoesOnAtLateWordOfACrash failed before; whenThatRunIsLostTheTaskIsStartedNoMore holds the other side.

--- a/core/src/main/java/org/boragegap/core/cell/CellController.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -115,7 +115,7 @@
         mTerm.at(clock.monotonicMs(), actions);
         mTerm.actsUntil(mActsUntilMs);
         CrashWatch crashes = new CrashWatch(mTerm);
-        mRuns = new RunLedger(mTerm, mTimes);
+        mRuns = new RunLedger(mTerm, mTimes, crashes);
         mLeases = new LeaseKeeper(mTerm, mRuns, crashes);
         mPlacement = new Placement(mTerm, mSettings);
         mJobs = new JobBook(mTerm, mPlacement, new Admission(mTerm, mTimes), mRuns, crashes);
--- a/core/src/main/java/org/boragegap/core/cell/CellJob.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellJob.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** A job that the controller has taken on. */
 final class CellJob {
@@ -161,6 +162,10 @@
         return all;
     }
 
+    Optional<CellTask> task(TaskName name) {
+        return tasks().stream().filter(task -> task.name().equals(name)).findFirst();
+    }
+
     /** Tasks that may start now: not done, not running, and all steps before them done. */
     List<CellTask> ready() {
         List<CellTask> ready = new ArrayList<>();
--- a/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
@@ -56,9 +56,11 @@
             TaskName task = run.task();
             mAccount.crashed(task, run.target(), run.evidence(), mTerm.nowMs());
             mTerm.act(new CellAction.TellCrash(task, run.target(), run.evidence()));
-            Optional<Verdict> verdict = mAccount.verdictOn(task, mTerm.nowMs());
-            log(run, runs.size() - 1, found, verdict.isPresent());
-            verdict.ifPresent(end -> giveUp(task, end));
+            log(run, runs.size() - 1, found, verdictOn(task).isPresent());
+            CellJob job = mTerm.jobs().get(task.job());
+            if (job != null) {
+                job.task(task).ifPresent(this::giveUp);
+            }
         }
     }
 
@@ -80,21 +82,24 @@
         mTerm.log(Decision.run("crash", run.task(), run.target(), inputs, outcome));
     }
 
-    private void giveUp(TaskName task, Verdict verdict) {
-        CellJob job = mTerm.jobs().get(task.job());
-        if (job != null) {
-            mJobs.end(job, verdict);
-        }
+    /**
+     * Ends the job of a task that would have to start again, but is started no more; true if so.
+     */
+    boolean giveUp(CellTask task) {
+        Optional<Verdict> verdict = task.idle() ? verdictOn(task.name()) : Optional.empty();
+        verdict.ifPresent(end -> mJobs.end(task.job(), end));
+        return verdict.isPresent();
     }
 
-    /** The verdict on a job one of whose tasks was given up; empty if none was. */
+    /** The verdict on a job one of whose tasks is started no more; empty if there is none. */
     Optional<Verdict> verdictOn(CellJob job) {
-        for (CellTask task : job.tasks()) {
-            Optional<Verdict> verdict = mAccount.verdictOn(task.name(), mTerm.nowMs());
-            if (verdict.isPresent()) {
-                return verdict;
-            }
-        }
-        return Optional.empty();
+        return job.tasks().stream()
+                .filter(CellTask::idle)
+                .flatMap(task -> verdictOn(task.name()).stream())
+                .findFirst();
+    }
+
+    private Optional<Verdict> verdictOn(TaskName task) {
+        return mAccount.verdictOn(task, mTerm.nowMs());
     }
 }
--- a/core/src/main/java/org/boragegap/core/cell/RunLedger.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunLedger.java
@@ -44,10 +44,12 @@
     private final Set<TaskName> mForeignDone = new LinkedHashSet<>();
     private JobBook mJobs;
     private LeaseKeeper mLeases;
+    private final CrashWatch mCrashes;
 
-    RunLedger(Term term, RunTimes times) {
+    RunLedger(Term term, RunTimes times, CrashWatch crashes) {
         mTerm = term;
         mTimes = times;
+        mCrashes = crashes;
         mHealth = new TargetHealth(term, times);
     }
 
@@ -174,7 +176,7 @@
 
     private void requeue(CellTask task) {
         CellJob job = task.job();
-        if (mTerm.jobs().get(job.id()) == job) {
+        if (mTerm.jobs().get(job.id()) == job && !mCrashes.giveUp(task)) {
             mTerm.waiting().add(job);
         }
     }
@@ -369,11 +371,7 @@
     }
 
     private void adoptRun(CellJob job, Target target, Target.ForeignRun foreign) {
-        CellTask task =
-                job.tasks().stream()
-                        .filter(candidate -> candidate.name().equals(foreign.task()))
-                        .findFirst()
-                        .orElse(null);
+        CellTask task = job.task(foreign.task()).orElse(null);
         if (task == null || !task.idle()) {
             return;
         }
--- a/core/src/test/java/org/boragegap/core/cell/CrashingTaskTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CrashingTaskTest.java
@@ -142,6 +142,81 @@
                 .containsExactly(crash(start.target().id(), CrashEvidence.POSSIBLE));
     }
 
+    /** Guards against late word of a crash under a task that is done by now. */
+    @Test
+    void aTaskThatIsDoneIsNotGivenUp() {
+        CellAction.StartRun lapsed = startOnceMoreAfterALapse(2);
+        CellAction.StartRun again =
+                mCell.starts().subList(2, 4).stream()
+                        .filter(start -> start.task().equals(TASK))
+                        .findFirst()
+                        .orElseThrow();
+        TargetReport.EndedRow done = new TargetReport.EndedRow(1, TASK, again.run(), EndCause.DONE);
+        mCell.report(LAPSED_MS + 100, again.target().id(), List.of(), List.of(done));
+        told("c1", CrashEvidence.CONFIRMED);
+        mCell.listed(LAPSED_MS + 400, again.target(), successorOf(lapsed.target()));
+        assertThat(mCell.actions(CellAction.TellCrash.class))
+                .contains(crash(lapsed.target().id(), CrashEvidence.CONFIRMED));
+        assertThat(mCell.verdicts()).isEmpty();
+    }
+
+    /** Guards against late word of a crash ending a run that is at work. */
+    @Test
+    void aRunThatIsAtWorkGoesOnAtLateWordOfACrash() {
+        CellAction.StartRun lapsed = startOnceMoreAfterALapse(1);
+        CellAction.StartRun again = mCell.starts().get(1);
+        told("c1", CrashEvidence.CONFIRMED);
+        mCell.listed(LAPSED_MS + 400, again.target(), successorOf(lapsed.target()));
+        assertThat(mCell.actions(CellAction.TellCrash.class))
+                .containsExactly(crash(lapsed.target().id(), CrashEvidence.CONFIRMED));
+        assertThat(mCell.verdicts()).isEmpty();
+        assertThat(mCell.actions(CellAction.StopRun.class)).isEmpty();
+    }
+
+    /** Guards against a given-up task that starts again when its last run ends. */
+    @Test
+    void whenThatRunIsLostTheTaskIsStartedNoMore() {
+        CellAction.StartRun lapsed = startOnceMoreAfterALapse(1);
+        CellAction.StartRun again = mCell.starts().get(1);
+        told("c1", CrashEvidence.CONFIRMED);
+        mCell.listed(LAPSED_MS + 400, again.target(), successorOf(lapsed.target()));
+        mCell.ticks(LAPSED_MS + 410, 2 * LAPSED_MS + 400);
+        assertThat(mCell.starts()).hasSize(2);
+        assertThat(mCell.verdicts()).hasSize(1);
+        assertThat(mCell.verdicts().get(0)).isInstanceOf(Verdict.Failed.class);
+    }
+
+    private List<TargetReport.RunningRow> atWorkOn(TargetInfo target) {
+        return mCell.starts().stream()
+                .filter(start -> start.target().id().equals(target.id()))
+                .map(start -> new TargetReport.RunningRow(start.task(), start.run(), 90))
+                .toList();
+    }
+
+    private static TargetInfo successorOf(TargetInfo gone) {
+        return ScriptedCell.target("t9", gone.address(), "a", 2_000);
+    }
+
+    /** The first target lapses with all tasks of the job, which another target takes then. */
+    private CellAction.StartRun startOnceMoreAfterALapse(int tasks) {
+        mCell.offer(10, JOB, tasks);
+        CellAction.StartRun lapsed = mCell.starts().get(0);
+        TargetInfo other = lapsed.target().equals(FIRST) ? SECOND : FIRST;
+        mCell.starts().forEach(start -> mCell.take(12, start));
+        int ordered = tasks;
+        for (long ms = 20; ms <= LAPSED_MS; ms += 10) {
+            mCell.on(ms, new CellEvent.Ticked());
+            for (; ordered < mCell.starts().size(); ordered++) {
+                mCell.take(ms, mCell.starts().get(ordered));
+            }
+            if (ms % 100 == 0) {
+                mCell.report(ms, other.id(), atWorkOn(other), List.of());
+            }
+        }
+        assertThat(mCell.starts()).hasSize(2 * tasks);
+        return lapsed;
+    }
+
     /** Guards against crashes and lapses that count however long ago they were. */
     @Test
     void crashesOfLongAgoCountNoMore() {
@@ -159,10 +234,6 @@
         assertThat(mCell.actions(CellAction.TellCrash.class)).isEmpty();
     }
 
-    private static TargetInfo successorOf(TargetInfo gone) {
-        return ScriptedCell.target("t9", gone.address(), "a", 2_000);
-    }
-
     private void told(String target, CrashEvidence evidence) {
         mCell.on(5, new CellEvent.CrashTold(TASK, target, evidence));
     }
