Targets that are lost together are not blamed on the tasks that ran there

A loss that many targets share says nothing about a task. Change: LossWatch counts what else is silent, or was found lost within a second. With three other targets that had no task of the same job, the evidence is COINCIDENT: the task isn't suspected, and isn't confirmed as the cause; four such losses still give it up, so that none is started for ever. Tasks of one job that crash all their targets stay suspected.

CoincidentLossTest is new: its classes hold each side.

--- a/core/src/main/java/org/boragegap/core/cell/CrashAccount.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashAccount.java
@@ -48,6 +48,10 @@
             return new Crashes(more, nowMs);
         }
 
+        boolean suspicious() {
+            return byTarget.values().stream().anyMatch(CrashEvidence::suspicious);
+        }
+
         long confirmed() {
             return byTarget.values().stream().filter(CrashEvidence.CONFIRMED::equals).count();
         }
@@ -128,12 +132,12 @@
         return crashes(task).byTarget().size();
     }
 
-    /** True when a target has crashed under the task, by its fault or not. */
+    /** True when a target has crashed under the task, and the task may be the cause. */
     boolean suspects(TaskName task) {
-        return !mCrashes.isEmpty() && mCrashes.containsKey(task);
+        return !mCrashes.isEmpty() && crashes(task).suspicious();
     }
 
-    /** True when a target has crashed under any of the tasks. */
+    /** True when any of the tasks is suspected. */
     boolean suspectsAny(Collection<TaskName> tasks) {
         return !mCrashes.isEmpty() && tasks.stream().anyMatch(this::suspects);
     }
--- a/core/src/main/java/org/boragegap/core/cell/CrashEvidence.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashEvidence.java
@@ -4,6 +4,8 @@
 
 /** How surely a task was at work on a target when the target crashed. */
 public enum CrashEvidence {
+    /** Other targets without a task of its job were lost in the same moment. */
+    COINCIDENT,
     /** Nobody knows: its order got no answer, or its end may have gone unheard. */
     POSSIBLE,
     /** The target had confirmed the run, and nobody had asked to stop it. */
@@ -21,8 +23,13 @@
         };
     }
 
+    /** True when the task is more likely to have crashed the target than anything else. */
+    boolean suspicious() {
+        return this != COINCIDENT;
+    }
+
     /** The stronger of two. */
     CrashEvidence or(CrashEvidence other) {
-        return this == CONFIRMED ? this : other;
+        return compareTo(other) >= 0 ? this : other;
     }
 }
--- a/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
@@ -7,11 +7,13 @@
 final class CrashWatch {
     private final Term mTerm;
     private final CrashAccount mAccount;
+    private final LossWatch mLosses;
     private JobBook mJobs;
 
     CrashWatch(Term term) {
         mTerm = term;
         mAccount = term.crashes();
+        mLosses = new LossWatch(term);
     }
 
     /** Connects what depends on each other; to be called once, before use. */
@@ -24,7 +26,15 @@
         if (target.info().draining()) {
             return;
         }
-        mAccount.lapsed(target.info(), LostRun.of(target.runs().values()), mTerm.nowMs());
+        mAccount.lapsed(target.info(), lost(target), mTerm.nowMs());
+    }
+
+    /** What is lost with the target, of which nothing is heard any more. */
+    List<LostRun> lost(Target target) {
+        mLosses.lost(target);
+        return LostRun.of(target.runs().values()).stream()
+                .map(run -> mLosses.alone(run) ? run : run.coincident())
+                .toList();
     }
 
     /** The target has answered; what lapsed on it did so for another cause than a crash. */
@@ -36,7 +46,7 @@
      * Another incarnation has answered in the place of this one. One that was leaving has left; any
      * other has crashed.
      *
-     * @param runs what ran on it until then
+     * @param runs what was lost with it
      */
     void replaced(TargetInfo gone, List<LostRun> runs) {
         List<LostRun> lapsed = mAccount.takeLapsed(gone.id(), mTerm.nowMs());
--- a/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
@@ -259,7 +259,7 @@
 
     /** Another incarnation answers at the target's address: all that ran there has ended. */
     void replaced(Target target) {
-        List<LostRun> runs = LostRun.of(target.runs().values());
+        List<LostRun> runs = mCrashes.lost(target);
         mRuns.allOver(target, "another incarnation");
         mTerm.targets().remove(target.id());
         mReplaced.put(target.id(), mTerm.nowMs());
--- a/core/src/main/java/org/boragegap/core/cell/LostRun.java
+++ b/core/src/main/java/org/boragegap/core/cell/LostRun.java
@@ -15,6 +15,11 @@
  */
 record LostRun(TaskName task, int number, String target, CrashEvidence evidence, long orderedMs) {
 
+    /** The same, when more was lost in that moment than the task can have been the cause of. */
+    LostRun coincident() {
+        return new LostRun(task, number, target, CrashEvidence.COINCIDENT, orderedMs);
+    }
+
     /** The runs on a target that were at work there, or may have been. */
     static List<LostRun> of(Collection<Run> runs) {
         List<LostRun> lost = new ArrayList<>();
--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/cell/CoincidentLossTest.java
@@ -0,0 +1,130 @@
+package org.boragegap.core.cell;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Many targets are lost in the same moment, with the tasks of one job or of several. */
+final class CoincidentLossTest {
+    private static final int TARGETS = 5;
+
+    /** A task that takes more than half of a target. */
+    private static final StepRequest LARGE = StepRequest.plain(1, 1_500, 100);
+
+    /** By then the leases of silent targets are over. */
+    private static final long LAPSED_MS = 6_000;
+
+    private final ScriptedCell mCell = new ScriptedCell();
+    private final List<TargetInfo> mTargets = new ArrayList<>();
+
+    @BeforeEach
+    void begin() {
+        for (int i = 0; i < TARGETS; i++) {
+            mTargets.add(target("t" + i, i));
+        }
+        mCell.evacuate(0);
+        mCell.begin(0, 7, mTargets.toArray(TargetInfo[]::new));
+        mCell.listed(5, mTargets.toArray(TargetInfo[]::new));
+    }
+
+    private static TargetInfo target(String id, int place) {
+        return ScriptedCell.target(id, "x:" + place, "a", 2_000);
+    }
+
+    private static String job(int number) {
+        return String.format("%016x", number);
+    }
+
+    /** All targets fall silent until they lapse; others are listed in their places. */
+    private List<CrashEvidence> loseAll() {
+        mCell.starts().forEach(start -> mCell.take(12, start));
+        mCell.ticks(20, LAPSED_MS);
+        mCell.listed(LAPSED_MS + 10, successors());
+        return mCell.actions(CellAction.TellCrash.class).stream()
+                .map(CellAction.TellCrash::evidence)
+                .toList();
+    }
+
+    private static TargetInfo[] successors() {
+        TargetInfo[] successors = new TargetInfo[TARGETS];
+        for (int i = 0; i < TARGETS; i++) {
+            successors[i] = target("s" + i, i);
+        }
+        return successors;
+    }
+
+    @Nested
+    class OfSeveralJobs {
+        @BeforeEach
+        void offer() {
+            for (int i = 0; i < TARGETS; i++) {
+                mCell.offer(10, job(i), LARGE);
+            }
+            assertThat(mCell.startedOn()).containsNoDuplicates();
+        }
+
+        /** Guards against tasks that are blamed for the loss of many targets at once. */
+        @Test
+        void noTaskIsSuspected() {
+            List<CrashEvidence> evidence = loseAll();
+            assertThat(evidence).hasSize(TARGETS);
+            assertThat(evidence.stream().filter(CrashEvidence::suspicious).toList()).isEmpty();
+        }
+    }
+
+    @Nested
+    class OfOneJob {
+        /** Guards against a job being cleared since all its tasks crash their targets at once. */
+        @Test
+        void eachTaskIsSuspected() {
+            mCell.offer(10, job(0), StepRequest.plain(TARGETS, 1_500, 100));
+            List<CrashEvidence> evidence = loseAll();
+            assertThat(evidence).hasSize(TARGETS);
+            assertThat(evidence.stream().filter(CrashEvidence::suspicious).toList())
+                    .hasSize(TARGETS);
+        }
+    }
+
+    @Nested
+    class OfAnEarlierLoss {
+        private final TaskName mTask = new TaskName(job(0), 0, 0, 0);
+
+        private void told(String target, CrashEvidence evidence) {
+            mCell.on(6, new CellEvent.CrashTold(mTask, target, evidence));
+        }
+
+        /** Guards against a job failed for two losses that it can't have been the cause of. */
+        @Test
+        void twoOfThemFailNoJob() {
+            told("c1", CrashEvidence.COINCIDENT);
+            told("c2", CrashEvidence.COINCIDENT);
+            mCell.offer(10, job(0), 1);
+            assertThat(mCell.verdicts()).isEmpty();
+            assertThat(mCell.starts()).hasSize(1);
+        }
+
+        /** Guards against targets that are kept for a task which nothing speaks against. */
+        @Test
+        void itsTaskRunsBesideOthers() {
+            told("c1", CrashEvidence.COINCIDENT);
+            mCell.offer(10, job(0), 1);
+            mCell.offer(11, job(1), 2 * TARGETS - 1);
+            assertThat(mCell.starts()).hasSize(2 * TARGETS);
+        }
+
+        /** Guards against a task that is started for ever since it is lost in company. */
+        @Test
+        void afterFourOfThemItIsStartedNoMore() {
+            for (String target : List.of("c1", "c2", "c3", "c4")) {
+                told(target, CrashEvidence.COINCIDENT);
+            }
+            mCell.offer(10, job(0), 1);
+            assertThat(mCell.starts()).isEmpty();
+            assertThat(mCell.verdicts().get(0)).isInstanceOf(Verdict.InDoubt.class);
+        }
+    }
+}
--- a/wire/src/main/java/org/boragegap/wire/CellFields.java
+++ b/wire/src/main/java/org/boragegap/wire/CellFields.java
@@ -130,16 +130,22 @@
             CellMessage.Crashed crashed = (CellMessage.Crashed) message;
             RecordFields.packTask(packer, crashed.task());
             packer.packString(crashed.target());
-            packer.packBoolean(crashed.evidence() == CrashEvidence.CONFIRMED);
+            packer.packInt(crashed.evidence().ordinal());
         }
 
         @Override
         CellMessage unpack(MessageUnpacker unpacker) throws IOException {
             TaskName task = RecordFields.unpackTask(unpacker);
             String target = unpacker.unpackString();
-            boolean confirmed = unpacker.unpackBoolean();
-            return new CellMessage.Crashed(
-                    task, target, confirmed ? CrashEvidence.CONFIRMED : CrashEvidence.POSSIBLE);
+            return new CellMessage.Crashed(task, target, evidence(unpacker.unpackInt()));
+        }
+
+        private static CrashEvidence evidence(int number) throws IOException {
+            CrashEvidence[] all = CrashEvidence.values();
+            if (number < 0 || number >= all.length) {
+                throw new IOException("no such evidence of a crash: " + number);
+            }
+            return all[number];
         }
     },
     FOLLOWING(CellMessage.Following.class) {
--- a/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
+++ b/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
@@ -100,6 +100,7 @@
                         new CellMessage.Targets(number, 1, List.of(target, target)),
                         new CellMessage.Crashed(task, text, CrashEvidence.CONFIRMED),
                         new CellMessage.Crashed(task, text, CrashEvidence.POSSIBLE),
+                        new CellMessage.Crashed(task, text, CrashEvidence.COINCIDENT),
                         new CellMessage.Following(number, clock, flag, !flag, 1, number, 3));
         List<PeerMessage.Cell> cells =
                 messages.stream().map(one -> new PeerMessage.Cell("h:1", count, one)).toList();
