--- a/core/src/test/java/org/boragegap/core/cell/CellHistoriesProperties.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistoriesProperties.java
@@ -74,6 +74,12 @@
         assertWithMessage("seed %s", seed).that(terms.askedSince(ALL_HAVE_STARTED_MS)).isEqualTo(0);
     }
 
+    /** Guards against a job that is shown as failed though none of its tasks has failed. */
+    @Property(tries = 2_000, seed = "16")
+    void noSoundJobIsShownAsFailedWhenTargetsCrashAtOnce(@ForAll long seed) {
+        assertHolds(seed, CellHistory::playCrashWaves);
+    }
+
     /**
      * Seeds that once broke a promise, each by a cause of its own: a refusal by a later term of the
      * same VM; a job handed in again beside a run on a target out of reach, twice; a VM that had
--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -101,6 +101,15 @@
         return play();
     }
 
+    /** Plays the usual failures while some targets crash at once, again and again. */
+    List<String> playCrashWaves() {
+        int waves = 2 + mRandom.nextInt(3);
+        for (int i = 0; i < waves; i++) {
+            after(1_700 + mRandom.nextLong(FAULTS_UNTIL_MS - 1_700), mPlatform::crashSome);
+        }
+        return play();
+    }
+
     /** Plays evacuations on an otherwise calm day; they are to be heeded soon. */
     List<String> playCalmEvacuations() {
         mOracle.evacuateWithin(EVACUATE_AIM_MS);
--- a/core/src/test/java/org/boragegap/core/cell/OrderWays.java
+++ b/core/src/test/java/org/boragegap/core/cell/OrderWays.java
@@ -64,6 +64,9 @@
     private void arrive(
             FakeTarget target, CellAction order, boolean late, Consumer<CellEvent> answer) {
         if (!target.alive()) {
+            if (mPlatform.answersAt(target.info().address())) {
+                answer.accept(Orders.failed(order, OrderResult.OTHER_INCARNATION));
+            }
             return;
         }
         if (!late && order instanceof CellAction.StartRun start) {
