What is known to be done is looked at before a job is refused or failed

What callers saw: a job all of whose tasks had run to their end was handed in again after a change of the controller and answered with 429 Declined ("no target can hold it"), or with 200 Failed ("targets have crashed under task 0").

Cause: JobBook.consider answered crash verdicts and refusals before mRuns.adopt(job) had credited the job with the ends that targets had reported.

Evidence: KnownEndsTest, two tests that failed before (Declined and Failed in the place of Completed).

Change: the job is credited first, and ends as Completed when nothing is left. An end stays known once it is credited: before, it was taken out of the book, and a refusal after that would have lost it (third test; that one passed before, it guards this change). The number of known ends is bounded as before.

Why it works: the room for a task and the crashes under it say something of its next run only, and a done task has none.

--- a/core/src/main/java/org/boragegap/core/cell/JobBook.java
+++ b/core/src/main/java/org/boragegap/core/cell/JobBook.java
@@ -97,6 +97,12 @@
                         objectiveMs,
                         longestMs,
                         offer.controllers());
+        job.wanted(offer.entry(), offer.number());
+        // Before any verdict: what is known to be done needs no room, and hasn't failed.
+        if (mRuns.creditDone(job)) {
+            end(job, new Verdict.Completed());
+            return;
+        }
         Optional<Verdict> failure = mCrashes.verdictOn(job);
         if (failure.isPresent()) {
             answer(offer.entry(), job.id(), offer.number(), failure.get());
@@ -112,7 +118,6 @@
             refuse(offer.entry(), offer.number(), job, "would wait too long", waitMs);
             return;
         }
-        job.wanted(offer.entry(), offer.number());
         mTerm.jobs().put(job.id(), job);
         mTerm.waiting().add(job);
         mTerm.log(
--- a/core/src/main/java/org/boragegap/core/cell/RunLedger.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunLedger.java
@@ -324,8 +324,8 @@
             rememberDone(row.task());
         }
         CellJob job = mTerm.jobs().get(row.task().job());
-        if (job != null) {
-            creditDone(job);
+        if (job != null && creditDone(job)) {
+            mJobs.end(job, new Verdict.Completed());
         }
     }
 
@@ -347,9 +347,8 @@
         mTimes.add(queue, step, tookMs);
     }
 
-    /** Takes over what already runs, or has ended, of a job that was just offered. */
+    /** Takes over what already runs of a job that was just taken on. */
     void adopt(CellJob job) {
-        creditDone(job);
         for (Target target : mTerm.targets().values()) {
             for (Target.ForeignRun foreign : List.copyOf(target.foreign().keySet())) {
                 if (foreign.task().job().equals(job.id())) {
@@ -359,13 +358,18 @@
         }
     }
 
-    private void creditDone(CellJob job) {
+    /**
+     * Credits the job with what targets have reported as done; true when that was all of it. The
+     * ends stay known: the job may be refused now, and be offered again.
+     */
+    boolean creditDone(CellJob job) {
+        boolean all = false;
         for (CellTask task : job.tasks()) {
-            boolean done = mForeignDone.remove(task.name());
-            if (done && task.idle() && job.finish(task)) {
-                mJobs.end(job, new Verdict.Completed());
+            if (task.idle() && mForeignDone.contains(task.name())) {
+                all = job.finish(task);
             }
         }
+        return all;
     }
 
     private void adoptRun(CellJob job, Target target, Target.ForeignRun foreign) {
