A reported end counts although the task was started again since

What callers saw: a job whose task had run to its end was answered with 200 Failed ("task 0 failed too often"), or waited for a second run.

Cause: RunLedger.creditDone took a reported `done` out of mForeignDone and dropped it when the task had a run at that moment. A target is silent until the lease of its run is over, the task is started elsewhere, the target is back and reports the end of the first run; that end was lost, and the second run's failure decided the job.

Change: a task that isn't done is credited whether it has a run or not. That run is stopped, as those of a job that ends are, and the job is looked at again for its next step: with no idle task, it doesn't stand among the waiting ones.

Why it works: the end was observed, the loss of the run only inferred from its lease. What the stopped run reports later is of a task that is done, and counts for its target's health alone.

ScriptedCell.offer takes several steps now.

--- a/core/src/main/java/org/boragegap/core/cell/RunLedger.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunLedger.java
@@ -365,13 +365,21 @@
     boolean creditDone(CellJob job) {
         boolean all = false;
         for (CellTask task : job.tasks()) {
-            if (task.idle() && mForeignDone.contains(task.name())) {
-                all = job.finish(task);
+            if (!task.done() && mForeignDone.contains(task.name())) {
+                all = creditDone(task);
             }
         }
         return all;
     }
 
+    /** The run that ended may have been taken for lost, so that the task runs again by now. */
+    private boolean creditDone(CellTask task) {
+        task.run().ifPresent(this::stop);
+        boolean all = task.job().finish(task);
+        requeue(task);
+        return all;
+    }
+
     private void adoptRun(CellJob job, Target target, Target.ForeignRun foreign) {
         CellTask task =
                 job.tasks().stream()
--- a/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
+++ b/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
@@ -81,9 +81,9 @@
         offer(ms, job, StepRequest.plain(tasks, 1_000, 100));
     }
 
-    void offer(long ms, String job, StepRequest step) {
+    void offer(long ms, String job, StepRequest... steps) {
         JobRequest request =
-                new JobRequest(job, "queue", "service", 0, 1, 1.6, 600, "", List.of(step), 1);
+                new JobRequest(job, "queue", "service", 0, 1, 1.6, 600, "", List.of(steps), 1);
         on(ms, new CellEvent.Offered("vm1", request, 0, BUDGET_MS, 1, mNextOffer++));
     }
 
