A job of which a start is known is not refused as never run

What callers saw: 429 Declined, which says that no task has started and none will, for jobs that ran at that moment or had run before.

Cause: a refusal went by what was in hand alone. The controller looked at how many controllers the offer named; what targets report of a job that nobody has offered, and what it had started itself before the job was dropped, didn't count. The entry VM's desk forgot that it had handed a job over as soon as the job's caller left: without a controller, it refused the returning caller, and to the next controller it offered the job as a new one.

Evidence: TrueRefusalsTest.

The controller keeps in it, over its terms, the jobs that it has started or that a target has reported; the desk, to how many controllers a job was handed and which was the last. A refusal of such a job is InDoubt; the refuse line names the term. A job of which a task was taken over, or is known to be done, counts as started in the book, too, and isn't taken out of it while it waits. A job that the controller refused as never run is forgotten at the desk.

Why it works: each way to Declined asks what was observed first. Jobs are refused as often as before where only the memory speaks; the word differs. Offers that now name a second controller are taken on although they would wait too long, as those that waited through a change of the controller are already.

--- a/core/src/main/java/org/boragegap/core/cell/CellController.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -28,6 +28,10 @@
     private final RunTimes mTimes = new RunTimes();
     private final Evacuations mEvacuations = new Evacuations();
     private final CrashAccount mCrashes = new CrashAccount();
+
+    /** Jobs that have started, each with the fencing token of the last term that knew of it. */
+    private final RecentJobs<Long> mStarted = new RecentJobs<>();
+
     private Term mTerm;
     private LeaseKeeper mLeases;
     private RunLedger mRuns;
@@ -111,7 +115,7 @@
 
     private void begin(CellEvent.TermBegan began, ClockReading clock, List<CellAction> actions) {
         long fence = began.fence();
-        mTerm = new Term(fence, clock.monotonicMs(), mEvacuations, mCrashes);
+        mTerm = new Term(fence, clock.monotonicMs(), mEvacuations, mCrashes, mStarted);
         mTerm.at(clock.monotonicMs(), actions);
         mTerm.actsUntil(mActsUntilMs);
         CrashWatch crashes = new CrashWatch(mTerm);
--- a/core/src/main/java/org/boragegap/core/cell/CellJob.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellJob.java
@@ -111,6 +111,7 @@
         return mMayHaveStarted;
     }
 
+    /** A task of it was ordered, or is known to have been by an earlier controller. */
     void startSent() {
         mMayHaveStarted = true;
     }
--- a/core/src/main/java/org/boragegap/core/cell/EntryDesk.java
+++ b/core/src/main/java/org/boragegap/core/cell/EntryDesk.java
@@ -29,6 +29,7 @@
     private final HeartbeatPace mPace;
     private final Map<String, Waiting> mWaiting = new HashMap<>();
     private final Map<Long, String> mJobs = new HashMap<>();
+    private final RecentJobs<HandOver> mHandedOver = new RecentJobs<>();
     private String mController = "";
     private long mFence;
     private long mHeardMs;
@@ -39,16 +40,42 @@
 
     private record Caller(long ticket, long arrivedMs, long giveUpMs) {}
 
+    /**
+     * What became of a job so far.
+     *
+     * @param controllers to how many controllers it has been offered
+     * @param fence fencing token of the last of them
+     */
+    private record HandOver(int controllers, long fence) {
+        static final HandOver NONE = new HandOver(0, 0);
+
+        HandOver to(long newFence) {
+            return newFence == fence ? this : new HandOver(controllers + 1, newFence);
+        }
+
+        /** Answer to a caller whose job isn't handed over now, nor will be. */
+        Verdict refusal(String reason) {
+            return controllers == 0
+                    ? new Verdict.Declined(reason, RETRY_AFTER_MS)
+                    : new Verdict.InDoubt(reason);
+        }
+    }
+
     private static final class Waiting {
         private final JobRequest mRequest;
         private final List<Caller> mCallers = new ArrayList<>();
-        private int mControllers;
+        private HandOver mHandOver;
         private long mOffer;
         private long mOfferedMs;
-        private long mOfferedFence;
 
-        private Waiting(JobRequest request) {
+        private Waiting(JobRequest request, HandOver before) {
             mRequest = request;
+            mHandOver = before;
+        }
+
+        /** True when it was offered since it waits. */
+        private boolean offered() {
+            return mOffer > 0;
         }
 
         /** When the last of its callers gives up. */
@@ -127,7 +154,7 @@
         String id = event.request().id();
         Caller caller = new Caller(event.ticket(), mNowMs, mNowMs + event.budgetMs());
         if (mDraining) {
-            decline(caller, id, "this VM is stopping");
+            reply(caller, id, HandOver.NONE.refusal("this VM is stopping"));
             return;
         }
         mJobs.put(event.ticket(), id);
@@ -136,7 +163,7 @@
             waiting.mCallers.add(caller);
             return;
         }
-        waiting = new Waiting(event.request());
+        waiting = new Waiting(event.request(), handedOver(id));
         waiting.mCallers.add(caller);
         mWaiting.put(id, waiting);
         if (controller(mNowMs).isPresent()) {
@@ -144,11 +171,13 @@
         }
     }
 
+    private HandOver handedOver(String job) {
+        return mHandedOver.find(job, mNowMs).orElse(HandOver.NONE);
+    }
+
     private void offer(Waiting waiting) {
-        if (waiting.mOfferedFence != mFence) {
-            waiting.mControllers++;
-            waiting.mOfferedFence = mFence;
-        }
+        waiting.mHandOver = waiting.mHandOver.to(mFence);
+        mHandedOver.note(waiting.mRequest.id(), waiting.mHandOver, mNowMs);
         waiting.mOfferedMs = mNowMs;
         waiting.mOffer = mNextOffer++;
         long arrivedMs = waiting.arrivedMs();
@@ -158,15 +187,11 @@
                         waiting.mRequest,
                         mNowMs - arrivedMs,
                         waiting.giveUpMs() - arrivedMs,
-                        waiting.mControllers,
+                        waiting.mHandOver.controllers(),
                         waiting.mOffer);
         mActions.add(new EntryAction.Tell(mController, message));
     }
 
-    private void decline(Caller caller, String job, String reason) {
-        reply(caller, job, new Verdict.Declined(reason, RETRY_AFTER_MS));
-    }
-
     private void reply(Caller caller, String job, Verdict verdict) {
         mJobs.remove(caller.ticket());
         long waitedMs = mNowMs - caller.arrivedMs();
@@ -187,13 +212,13 @@
 
     private void withdraw(String id, String cause) {
         Waiting waiting = mWaiting.remove(id);
-        if (waiting.mControllers > 0 && !mController.isEmpty()) {
+        if (waiting.offered() && !mController.isEmpty()) {
             mActions.add(new EntryAction.Tell(mController, new CellMessage.Withdraw(id)));
         }
+        int controllers = waiting.mHandOver.controllers();
         mActions.add(
                 new EntryAction.Log(
-                        Decision.job(
-                                "withdraw", id, "controllers=" + waiting.mControllers, cause)));
+                        Decision.job("withdraw", id, "controllers=" + controllers, cause)));
     }
 
     private void heard(EntryEvent.ControllerHeard heard) {
@@ -230,6 +255,9 @@
             return;
         }
         mWaiting.remove(event.job());
+        if (event.verdict() instanceof Verdict.Declined) {
+            mHandedOver.forget(event.job());
+        }
         for (Caller caller : waiting.mCallers) {
             reply(caller, event.job(), event.verdict());
         }
@@ -263,9 +291,9 @@
     private void giveUp(Waiting waiting) {
         String id = waiting.mRequest.id();
         for (Caller caller : List.copyOf(waiting.mCallers)) {
-            if (waiting.mControllers == 0 && mNowMs - caller.arrivedMs() > HAND_OVER_MS) {
+            if (!waiting.offered() && mNowMs - caller.arrivedMs() > HAND_OVER_MS) {
                 waiting.mCallers.remove(caller);
-                decline(caller, id, "no controller is known");
+                reply(caller, id, waiting.mHandOver.refusal("no controller is known"));
             } else if (mNowMs >= caller.giveUpMs()) {
                 waiting.mCallers.remove(caller);
                 reply(caller, id, new Verdict.InDoubt("no verdict in time"));
--- a/core/src/main/java/org/boragegap/core/cell/JobBook.java
+++ b/core/src/main/java/org/boragegap/core/cell/JobBook.java
@@ -145,8 +145,9 @@
     }
 
     private void refuse(String entry, long number, CellJob job, String reason, long waitMs) {
+        Optional<Long> startedIn = mTerm.startedIn(job.id());
         Verdict verdict =
-                job.mayHaveStarted()
+                job.mayHaveStarted() || startedIn.isPresent()
                         ? new Verdict.InDoubt(reason)
                         : new Verdict.Declined(reason, mAdmission.retryAfterMs(waitMs));
         mTerm.log(
@@ -158,7 +159,8 @@
                                 + " wait_ms="
                                 + waitMs
                                 + " objective_ms="
-                                + job.objectiveMs(),
+                                + job.objectiveMs()
+                                + startedIn.map(fence -> " started_in=" + fence).orElse(""),
                         reason));
         Waiter waiter = new Waiter(entry, job.id());
         // Taken out first: an entry that is written over would keep its place among the oldest.
@@ -193,8 +195,7 @@
             }
         }
         for (CellJob job : refused) {
-            mTerm.jobs().remove(job.id());
-            mTerm.waiting().remove(job);
+            drop(job);
             job.entries().forEach((entry, number) -> refuse(entry, number, job, reason, 0));
         }
     }
@@ -217,8 +218,7 @@
 
     /** Ends a job: tells its callers, keeps the verdict, stops what still runs. */
     void end(CellJob job, Verdict verdict) {
-        mTerm.jobs().remove(job.id());
-        mTerm.waiting().remove(job);
+        drop(job);
         mVerdicts.remove(job.id());
         mVerdicts.put(job.id(), new Kept(verdict, mTerm.nowMs()));
         job.entries().forEach((entry, offer) -> answer(entry, job.id(), offer, verdict));
@@ -236,6 +236,14 @@
                         verdict.getClass().getSimpleName()));
     }
 
+    private void drop(CellJob job) {
+        mTerm.jobs().remove(job.id());
+        mTerm.waiting().remove(job);
+        if (job.mayHaveStarted()) {
+            mTerm.noteStarted(job.id());
+        }
+    }
+
     /**
      * Removes entries from the oldest on; they stand in the order in which they were made, so that
      * none has to be looked at that stays.
@@ -260,9 +268,6 @@
                 gone.add(job);
             }
         }
-        for (CellJob job : gone) {
-            mTerm.jobs().remove(job.id());
-            mTerm.waiting().remove(job);
-        }
+        gone.forEach(this::drop);
     }
 }
--- a/core/src/main/java/org/boragegap/core/cell/RunLedger.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunLedger.java
@@ -64,6 +64,7 @@
         task.began(run);
         target.add(run);
         task.job().startSent();
+        mTerm.noteStarted(task.job().id());
         mTerm.act(orderFor(run, target));
         return run;
     }
@@ -246,6 +247,7 @@
             run.reported(row.percent(), mTerm.nowMs());
             return;
         }
+        mTerm.noteStarted(row.task().job());
         Target.ForeignRun foreign = new Target.ForeignRun(row.task(), row.run());
         target.foreign().putIfAbsent(foreign, mTerm.nowMs());
         CellJob job = mTerm.jobs().get(row.task().job());
@@ -320,6 +322,7 @@
     }
 
     private void foreignEnd(TargetReport.EndedRow row) {
+        mTerm.noteStarted(row.task().job());
         if (row.cause().done()) {
             rememberDone(row.task());
         }
@@ -375,6 +378,7 @@
     /** The run that ended may have been taken for lost, so that the task runs again by now. */
     private boolean creditDone(CellTask task) {
         task.run().ifPresent(this::stop);
+        task.job().startSent();
         boolean all = task.job().finish(task);
         requeue(task);
         return all;
@@ -391,6 +395,7 @@
         }
         Run run = new Run(task, foreign.run(), target, mTerm.nowMs(), Run.State.RUNNING);
         task.began(run);
+        job.startSent();
         target.foreign().remove(foreign);
         target.add(run);
         mTerm.log(
--- a/core/src/main/java/org/boragegap/core/cell/Term.java
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeSet;
 
 /** Everything that a controller knows in one term; a later term begins with nothing of it. */
@@ -19,6 +20,7 @@
     private final long mSinceMs;
     private final Evacuations mEvacuations;
     private final CrashAccount mCrashes;
+    private final RecentJobs<Long> mStarted;
     private final Map<String, Target> mTargets = new LinkedHashMap<>();
     private final Map<String, CellJob> mJobs = new HashMap<>();
     private final TreeSet<CellJob> mWaiting =
@@ -33,11 +35,17 @@
     private long mActsUntilMs;
     private List<CellAction> mActions;
 
-    Term(long fence, long nowMs, Evacuations evacuations, CrashAccount crashes) {
+    Term(
+            long fence,
+            long nowMs,
+            Evacuations evacuations,
+            CrashAccount crashes,
+            RecentJobs<Long> started) {
         mFence = fence;
         mSinceMs = nowMs;
         mEvacuations = evacuations;
         mCrashes = crashes;
+        mStarted = started;
     }
 
     /** Sets the clock and the list of actions for the event that is handled now. */
@@ -104,6 +112,16 @@
         return mCrashes;
     }
 
+    /** Something of the job has started, or may have. */
+    void noteStarted(String job) {
+        mStarted.note(job, mFence, mNowMs);
+    }
+
+    /** Fencing token of the last term that knew of a start of the job; empty for none lately. */
+    Optional<Long> startedIn(String job) {
+        return mStarted.find(job, mNowMs);
+    }
+
     Map<String, CellJob> jobs() {
         return mJobs;
     }
--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/cell/TrueRefusalsTest.java
@@ -0,0 +1,255 @@
+package org.boragegap.core.cell;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.boragegap.core.ClockReading;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A refusal says that no task of the job has started. Where something is known to the contrary, the
+ * caller is told that its job is in doubt.
+ */
+final class TrueRefusalsTest {
+    private static final String JOB = "00000000000000c1";
+    private static final TaskName TASK = new TaskName(JOB, 0, 0, 0);
+    private static final TargetInfo FIRST = ScriptedCell.target("t1", "x:1", "a", 2_000);
+    private static final TargetInfo SECOND = ScriptedCell.target("t2", "x:2", "a", 2_000);
+
+    /** By then the leases of a silent target are over. */
+    private static final long LAPSED_MS = 6_000;
+
+    /** By then a job without a caller that runs nowhere has been dropped. */
+    private static final long DROPPED_MS = LAPSED_MS + 4_000;
+
+    /** By then what was remembered of a job is forgotten. */
+    private static final long FORGOTTEN_MS = 120_000;
+
+    @Nested
+    final class OfTheController {
+        private final ScriptedCell mCell = new ScriptedCell();
+
+        @BeforeEach
+        void evacuateNothing() {
+            mCell.evacuate(0);
+        }
+
+        private void inherit(
+                List<TargetReport.RunningRow> running, List<TargetReport.EndedRow> ended) {
+            mCell.on(0, new CellEvent.TermBegan(9, Optional.of(List.of(FIRST))));
+            mCell.report(5, FIRST.id(), running, ended);
+            mCell.listed(6, FIRST);
+        }
+
+        private void refuse(long ms, int tasks) {
+            mCell.evacuate(ms, "a");
+            mCell.offer(ms + 5, JOB, tasks);
+        }
+
+        /** The job runs, its caller leaves, its targets fall silent, and it is dropped. */
+        private void runAndDrop() {
+            mCell.begin(0, 7, FIRST, SECOND);
+            mCell.listed(5, FIRST, SECOND);
+            mCell.offer(10, JOB, StepRequest.plain(2, 2_000, 100));
+            for (CellAction.StartRun start : mCell.starts()) {
+                mCell.take(12, start);
+            }
+            mCell.on(15, new CellEvent.Withdrawn("vm1", JOB));
+            mCell.ticks(20, DROPPED_MS);
+        }
+
+        private void assertInDoubt() {
+            assertThat(mCell.verdicts()).hasSize(1);
+            assertThat(mCell.verdicts().get(0)).isInstanceOf(Verdict.InDoubt.class);
+        }
+
+        /** Guards against a caller being told that its job never ran while a target reports it. */
+        @Test
+        void aJobThatATargetReportsIsNotRefusedAsNeverRun() {
+            inherit(List.of(new TargetReport.RunningRow(TASK, 1, 50)), List.of());
+            refuse(10, 1);
+            assertInDoubt();
+        }
+
+        /** Guards against a caller being told that its job never ran after a run of it failed. */
+        @Test
+        void aJobWhoseFailedRunATargetReportsIsNotRefusedAsNeverRun() {
+            inherit(List.of(), List.of(new TargetReport.EndedRow(1, TASK, 1, EndCause.FAILED)));
+            refuse(10, 1);
+            assertInDoubt();
+        }
+
+        /** Guards against a refusal of a job whose other task goes on running. */
+        @Test
+        void aWaitingJobWithATaskThatWasTakenOverIsNotRefused() {
+            mCell.on(0, new CellEvent.TermBegan(9, Optional.of(List.of(FIRST))));
+            TargetReport.RunningRow row = new TargetReport.RunningRow(TASK, 1, 50);
+            mCell.report(5, FIRST.id(), List.of(row), List.of());
+            mCell.listed(6, FIRST);
+            mCell.offer(10, JOB, StepRequest.plain(2, 2_000, 100));
+            mCell.evacuate(20, "a");
+            assertThat(mCell.verdicts()).isEmpty();
+        }
+
+        /** Guards against a caller being told that its job never ran after it had run. */
+        @Test
+        void aJobThatRanAndWasAbandonedIsNotRefusedAsNeverRun() {
+            runAndDrop();
+            refuse(DROPPED_MS + 5, 2);
+            assertInDoubt();
+        }
+
+        /** Guards against a next term of this VM that has forgotten what the last one started. */
+        @Test
+        void aJobThatAnEarlierTermJobsIsNotRefusedAsNeverRun() {
+            runAndDrop();
+            mCell.on(DROPPED_MS + 10, new CellEvent.TermEnded());
+            mCell.begin(DROPPED_MS + 20, 9, FIRST);
+            mCell.listed(DROPPED_MS + 25, FIRST);
+            refuse(DROPPED_MS + 30, 2);
+            assertInDoubt();
+        }
+
+        /** Guards against a memory that grows without bound. */
+        @Test
+        void whatRanLongAgoIsForgotten() {
+            runAndDrop();
+            refuse(FORGOTTEN_MS, 2);
+            assertThat(mCell.verdicts()).hasSize(1);
+            assertThat(mCell.verdicts().get(0)).isInstanceOf(Verdict.Declined.class);
+        }
+    }
+
+    @Nested
+    final class OfTheMemory {
+        private final RecentJobs<Integer> mJobs = new RecentJobs<>();
+
+        /** Guards against a memory that grows without bound. */
+        @Test
+        void theOldestIsForgottenFirst() {
+            mJobs.note("first", 1, 0);
+            mJobs.note("second", 2, 0);
+            mJobs.note("first", 3, 1);
+            for (int i = 0; i < RecentJobs.MOST_JOBS - 1; i++) {
+                mJobs.note("job" + i, i, 2);
+            }
+            assertThat(mJobs.find("first", 3)).hasValue(3);
+            assertThat(mJobs.find("second", 3)).isEmpty();
+        }
+    }
+
+    @Nested
+    final class OfTheEntryVm {
+        private final EntryDesk mDesk = EntryDesk.create(new HeartbeatPace());
+        private final List<EntryAction> mActions = new ArrayList<>();
+
+        private void on(long ms, EntryEvent event) {
+            mDesk.on(event, new ClockReading(ms, ms), mActions);
+        }
+
+        private void submit(long ms, long ticket) {
+            StepRequest step = StepRequest.plain(1, 1_000, 100);
+            JobRequest request =
+                    new JobRequest(JOB, "queue", "service", 0, 1, 1.6, 600, "", List.of(step), 1);
+            on(ms, new EntryEvent.Submitted(ticket, request, 2_000));
+        }
+
+        private CellMessage.Offer lastOffer() {
+            return mActions.stream()
+                    .filter(EntryAction.Tell.class::isInstance)
+                    .map(action -> ((EntryAction.Tell) action).message())
+                    .filter(CellMessage.Offer.class::isInstance)
+                    .map(CellMessage.Offer.class::cast)
+                    .reduce((earlier, later) -> later)
+                    .orElseThrow();
+        }
+
+        private List<Verdict> verdicts() {
+            return mActions.stream()
+                    .filter(EntryAction.Reply.class::isInstance)
+                    .map(action -> ((EntryAction.Reply) action).verdict())
+                    .toList();
+        }
+
+        /** The caller leaves before the job is answered, and the controller goes as planned. */
+        private void handOverAndLeave() {
+            on(1_000, new EntryEvent.ControllerHeard("vm1", 7));
+            submit(1_000, 1);
+            on(1_000, new EntryEvent.CallerLeft(1));
+            on(1_100, new EntryEvent.ControllerLeft(7));
+        }
+
+        private void comeBackAndWait(long ms) {
+            submit(ms, 2);
+            mActions.clear();
+            on(ms + 300, new EntryEvent.Ticked());
+        }
+
+        private void assertInDoubt() {
+            assertThat(verdicts()).hasSize(1);
+            assertThat(verdicts().get(0)).isInstanceOf(Verdict.InDoubt.class);
+        }
+
+        /** Guards against a caller being told that its job never ran after it was handed over. */
+        @Test
+        void aJobThatWasHandedOverBeforeIsNotRefusedAsNeverRun() {
+            handOverAndLeave();
+            comeBackAndWait(1_200);
+            assertInDoubt();
+        }
+
+        /** Guards against the same when the caller comes back more than once. */
+        @Test
+        void norWhenItsCallerComesBackOnceMore() {
+            handOverAndLeave();
+            comeBackAndWait(1_200);
+            comeBackAndWait(1_600);
+            assertInDoubt();
+        }
+
+        /** Guards against a next controller that takes the job for one that surely never ran. */
+        @Test
+        void theNextControllerIsToldThatItIsTheSecond() {
+            handOverAndLeave();
+            on(1_150, new EntryEvent.ControllerHeard("vm2", 9));
+            submit(1_200, 2);
+            assertThat(lastOffer().controllers()).isEqualTo(2);
+        }
+
+        /** Guards against the return of a caller being counted as another controller. */
+        @Test
+        void theSameControllerIsToldThatItIsTheFirst() {
+            on(1_000, new EntryEvent.ControllerHeard("vm1", 7));
+            submit(1_000, 1);
+            on(1_000, new EntryEvent.CallerLeft(1));
+            submit(1_200, 2);
+            assertThat(lastOffer().controllers()).isEqualTo(1);
+        }
+
+        /** Guards against a doubt where the controller has said that the job never ran. */
+        @Test
+        void aJobThatTheControllerRefusedMayBeRefusedAgain() {
+            on(1_000, new EntryEvent.ControllerHeard("vm1", 7));
+            submit(1_000, 1);
+            Verdict refused = new Verdict.Declined("would wait too long", 1_000);
+            on(1_010, new EntryEvent.Decided(JOB, lastOffer().number(), refused));
+            on(1_100, new EntryEvent.ControllerLeft(7));
+            comeBackAndWait(1_200);
+            assertThat(verdicts()).hasSize(1);
+            assertThat(verdicts().get(0)).isInstanceOf(Verdict.Declined.class);
+        }
+
+        /** Guards against a memory that grows without bound. */
+        @Test
+        void whatWasHandedOverLongAgoIsForgotten() {
+            handOverAndLeave();
+            comeBackAndWait(FORGOTTEN_MS);
+            assertThat(verdicts()).hasSize(1);
+            assertThat(verdicts().get(0)).isInstanceOf(Verdict.Declined.class);
+        }
+    }
+}
