A stopping VM doesn't refuse what it handed over as never run

What callers saw: a caller that came to a stopping VM with a job that waits there, or was handed over from there lately, got 429 Declined, though the job may have been running.

Cause: EntryDesk answered before it looked whether it knows the job.

Evidence: TrueRefusalsTest.norByAVmThatStops and norByAVmThatStopsWhileItWaitsHere failed before (Declined).

Change: it looks at what it has handed over, and says InDoubt.

--- a/core/src/main/java/org/boragegap/core/cell/EntryDesk.java
+++ b/core/src/main/java/org/boragegap/core/cell/EntryDesk.java
@@ -154,7 +154,7 @@
         String id = event.request().id();
         Caller caller = new Caller(event.ticket(), mNowMs, mNowMs + event.budgetMs());
         if (mDraining) {
-            reply(caller, id, HandOver.NONE.refusal("this VM is stopping"));
+            reply(caller, id, handedOver(id).refusal("this VM is stopping"));
             return;
         }
         mJobs.put(event.ticket(), id);
--- a/core/src/test/java/org/boragegap/core/cell/TrueRefusalsTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/TrueRefusalsTest.java
@@ -211,6 +211,25 @@
             assertInDoubt();
         }
 
+        /** Guards against a stopping VM that denies what it handed over. */
+        @Test
+        void norByAVmThatStops() {
+            handOverAndLeave();
+            on(1_150, new EntryEvent.Draining());
+            submit(1_200, 2);
+            assertInDoubt();
+        }
+
+        /** Guards against a stopping VM that denies what it has in hand for another caller. */
+        @Test
+        void norByAVmThatStopsWhileItWaitsHere() {
+            on(1_000, new EntryEvent.ControllerHeard("vm1", 7));
+            submit(1_000, 1);
+            on(1_050, new EntryEvent.Draining());
+            submit(1_100, 2);
+            assertInDoubt();
+        }
+
         /** Guards against a next controller that takes the job for one that surely never ran. */
         @Test
         void theNextControllerIsToldThatItIsTheSecond() {
