An entry VM that was restarted is heard at once

What callers saw: no answer until their time was over (504), for up to ten seconds after their entry VM was restarted, when they handed in a job again that had been refused before the restart.

Cause: JobBook.refusedSince drops offers with a lower number than that of the last refusal, and EntryDesk counted from 1 in each life of the VM, at the same address. The other way round, the answer to an offer of the life before could be taken for one to the offer of this life that had the same number, and a late offer of the life before, with a higher number, was taken on after the refusal.

Change: the numbers begin with the wall clock's ms at which the process began, shifted left by 20 bits.

Why it works: a life that makes fewer than 2^20 offers a ms doesn't reach the numbers of a life that begins a ms later; 41 bits of time and 20 bits fit into a long until the year 2248.

A clock that steps back between two lives by more than the VM was down: the new life's offers are lower, so that a job that was refused in the life before is unheard until the refusal is forgotten, as before this change; other jobs aren't touched. A life in the offer would tell the two apart, but not which is the later one, so that a late offer of the earlier life would have to be taken on, after its refusal was told: an untrue word in place of a late one. A test holds the bound.

--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -22,7 +22,7 @@
     private final String mSelf;
     private final HeartbeatPace mPace = new HeartbeatPace();
     private final Heartbeats mHeartbeats = new Heartbeats();
-    private final EntryDesk mDesk = EntryDesk.create(mPace);
+    private final EntryDesk mDesk;
     private final CellController mController;
     private final Membership mMembership;
 
@@ -38,6 +38,7 @@
     private CellMember(
             String self, int cell, CellSettings settings, long groupLeaseMs, ClockReading began) {
         mSelf = self;
+        mDesk = EntryDesk.create(mPace, began);
         mController = CellController.create(settings);
         mMembership = Membership.create(groupLeaseMs, began);
         mSearch = new ControllerSearch(self, cell, mMembership, mDesk, mFollowers, mPace);
--- a/core/src/main/java/org/boragegap/core/cell/CellMessage.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMessage.java
@@ -14,7 +14,7 @@
      * @param ageMs how long ago the caller handed it in, in ms
      * @param budgetMs how long the caller waits in all, in ms
      * @param controllers how many controllers it has been offered to, from 1
-     * @param number rises with each offer of the sender; the verdict repeats it
+     * @param number rises with each offer of the sender, over all its lives; the verdict repeats it
      */
     record Offer(
             long fence, JobRequest request, long ageMs, long budgetMs, int controllers, long number)
--- a/core/src/main/java/org/boragegap/core/cell/EntryDesk.java
+++ b/core/src/main/java/org/boragegap/core/cell/EntryDesk.java
@@ -26,6 +26,12 @@
     /** A job without a verdict is offered again after this time, in ms: a frame may be lost. */
     private static final long OFFER_AGAIN_MS = 1_000;
 
+    /**
+     * Bits of an offer's number below those of the time in ms: a life that makes fewer offers per
+     * ms than these can count never reaches the numbers of the next.
+     */
+    private static final int OFFERS_PER_MS_BITS = 20;
+
     private final HeartbeatPace mPace;
     private final Map<String, Waiting> mWaiting = new HashMap<>();
     private final Map<Long, String> mJobs = new HashMap<>();
@@ -34,7 +40,15 @@
     private long mFence;
     private long mHeardMs;
     private boolean mDraining;
-    private long mNextOffer = 1;
+
+    /**
+     * Numbers of offers begin with the time at which this process began, so that those of its later
+     * lives are higher, and no answer to one life's offer is taken for one to another's. If the
+     * clock was set back meanwhile by more than the VM was down, the controller takes new offers of
+     * a job that it refused before for late ones, for as long as it remembers the refusal.
+     */
+    private long mNextOffer;
+
     private long mNowMs;
     private List<EntryAction> mActions;
 
@@ -88,13 +102,18 @@
         }
     }
 
-    private EntryDesk(HeartbeatPace pace) {
+    private EntryDesk(HeartbeatPace pace, ClockReading began) {
         mPace = pace;
+        mNextOffer = (began.wallMs() << OFFERS_PER_MS_BITS) + 1;
     }
 
-    /** Makes a desk at which nobody waits. */
-    static EntryDesk create(HeartbeatPace pace) {
-        return new EntryDesk(pace);
+    /**
+     * Makes a desk at which nobody waits.
+     *
+     * @param began when this process began
+     */
+    static EntryDesk create(HeartbeatPace pace, ClockReading began) {
+        return new EntryDesk(pace, began);
     }
 
     /**
--- a/core/src/test/java/org/boragegap/core/cell/EntryDeskTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/EntryDeskTest.java
@@ -13,7 +13,7 @@
     private static final String JOB = "00000000000000aa";
     private static final String OTHER_JOB = "00000000000000ab";
 
-    private final EntryDesk mDesk = EntryDesk.create(new HeartbeatPace());
+    private final EntryDesk mDesk = EntryDesk.create(new HeartbeatPace(), new ClockReading(0, 0));
     private long mNowMs = 1_000;
 
     private List<EntryAction> on(EntryEvent event) {
--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/cell/OfferNumbersTest.java
@@ -0,0 +1,157 @@
+package org.boragegap.core.cell;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.boragegap.core.ClockReading;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Offers are told apart and put in order by their numbers, over all lives of an entry VM. */
+final class OfferNumbersTest {
+    private static final String JOB = "00000000000000c1";
+    private static final TargetInfo TARGET = ScriptedCell.target("t1", "x:1", "a", 2_000);
+
+    /** Some day, in ms since the Unix epoch. */
+    private static final long DAY_MS = 1_800_000_000_000L;
+
+    /** Offers of one life before it ends. */
+    private static final int MANY_OFFERS = 500;
+
+    private static JobRequest request() {
+        StepRequest tooLarge = StepRequest.plain(1, 9_000, 100);
+        return new JobRequest(JOB, "queue", "service", 0, 1, 1.6, 600, "", List.of(tooLarge), 1);
+    }
+
+    /** One life of an entry VM; its monotonic clock begins anew with it. */
+    private static final class Life {
+        private final EntryDesk mDesk;
+        private final List<EntryAction> mActions = new ArrayList<>();
+        private final ClockReading mNow;
+        private long mNextTicket = 1;
+
+        Life(long wallMs) {
+            mNow = new ClockReading(10, wallMs);
+            mDesk = EntryDesk.create(new HeartbeatPace(), mNow);
+            on(new EntryEvent.ControllerHeard("vm1", 7));
+        }
+
+        private void on(EntryEvent event) {
+            mDesk.on(event, mNow, mActions);
+        }
+
+        CellMessage.Offer offer() {
+            on(new EntryEvent.Submitted(mNextTicket, request(), 2_000));
+            on(new EntryEvent.CallerLeft(mNextTicket++));
+            return mActions.stream()
+                    .filter(EntryAction.Tell.class::isInstance)
+                    .map(action -> ((EntryAction.Tell) action).message())
+                    .filter(CellMessage.Offer.class::isInstance)
+                    .map(CellMessage.Offer.class::cast)
+                    .reduce((earlier, later) -> later)
+                    .orElseThrow();
+        }
+
+        CellMessage.Offer offerLast() {
+            for (int i = 1; i < MANY_OFFERS; i++) {
+                offer();
+            }
+            return offer();
+        }
+    }
+
+    @Nested
+    final class OfTwoLives {
+        /** Guards against an answer to one life's offer being taken for one to the other's. */
+        @Test
+        void offersOfTwoLivesOfAnEntryVmHaveDifferentNumbers() {
+            long first = new Life(DAY_MS).offer().number();
+            assertThat(new Life(DAY_MS + 1).offer().number()).isNotEqualTo(first);
+            assertThat(new Life(DAY_MS - 1).offer().number()).isNotEqualTo(first);
+        }
+
+        @Test
+        void thoseOfTheLaterLifeAreHigher() {
+            long last = new Life(DAY_MS).offerLast().number();
+            assertThat(new Life(DAY_MS + 1).offer().number()).isGreaterThan(last);
+        }
+
+        @Test
+        void thoseOfOneLifeRise() {
+            Life life = new Life(DAY_MS);
+            long first = life.offer().number();
+            assertThat(first).isGreaterThan(0);
+            assertThat(life.offer().number()).isGreaterThan(first);
+        }
+    }
+
+    @Nested
+    final class AtTheController {
+        private final CellController mController =
+                CellController.create(new CellSettings(1_000, 2));
+        private final List<CellAction> mActions = new ArrayList<>();
+
+        @BeforeEach
+        void begin() {
+            on(0, new CellEvent.DomainsEvacuated(Set.of()));
+            on(0, new CellEvent.TermBegan(7, Optional.of(List.of(TARGET))));
+            on(0, new CellEvent.TargetsListed(List.of(TARGET)));
+        }
+
+        private void on(long ms, CellEvent event) {
+            mController.actsUntil(ms + 1_000);
+            mController.on(event, new ClockReading(ms, ms), mActions);
+        }
+
+        private void offered(long ms, CellMessage.Offer offer) {
+            on(ms, new CellEvent.Offered("vm2", offer.request(), 0, 1_500, 1, offer.number()));
+        }
+
+        private List<Long> answered() {
+            return mActions.stream()
+                    .filter(CellAction.Answer.class::isInstance)
+                    .map(action -> ((CellAction.Answer) action).number())
+                    .toList();
+        }
+
+        /** Guards against a caller that gets no answer since its entry VM was restarted. */
+        @Test
+        void anEntryVmThatCountsAnewIsHeard() {
+            CellMessage.Offer before = new Life(DAY_MS).offerLast();
+            offered(10, before);
+            CellMessage.Offer after = new Life(DAY_MS + 1_000).offer();
+            offered(1_100, after);
+            assertThat(answered()).containsExactly(before.number(), after.number()).inOrder();
+        }
+
+        /** Guards against an offer of a life that is over, held up, starting a refused job. */
+        @Test
+        void aLateOfferOfAnEarlierLifeIsNotTakenOn() {
+            CellMessage.Offer before = new Life(DAY_MS).offerLast();
+            CellMessage.Offer after = new Life(DAY_MS + 1_000).offer();
+            offered(1_100, after);
+            offered(1_200, before);
+            assertThat(answered()).containsExactly(after.number());
+        }
+
+        /**
+         * A clock that was set back between two lives costs that VM's callers the answer for as
+         * long as a refusal is remembered, and no longer.
+         */
+        @Test
+        void afterAClockThatWentBackItIsHeardOnceTheRefusalIsForgotten() {
+            CellMessage.Offer before = new Life(DAY_MS).offer();
+            offered(10, before);
+            CellMessage.Offer after = new Life(DAY_MS - 5_000).offer();
+            offered(1_100, after);
+            assertThat(answered()).containsExactly(before.number());
+            on(10_100, new CellEvent.Ticked());
+            offered(10_200, after);
+            assertThat(answered()).containsExactly(before.number(), after.number()).inOrder();
+        }
+    }
+}
--- a/core/src/test/java/org/boragegap/core/cell/TrueRefusalsTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/TrueRefusalsTest.java
@@ -144,7 +144,8 @@
 
     @Nested
     final class OfTheEntryVm {
-        private final EntryDesk mDesk = EntryDesk.create(new HeartbeatPace());
+        private final EntryDesk mDesk =
+                EntryDesk.create(new HeartbeatPace(), new ClockReading(0, 0));
         private final List<EntryAction> mActions = new ArrayList<>();
 
         private void on(long ms, EntryEvent event) {
