--- a/core/src/main/java/org/boragegap/core/cell/EntryDesk.java
+++ b/core/src/main/java/org/boragegap/core/cell/EntryDesk.java
@@ -26,29 +26,70 @@
     /** A job without a verdict is offered again after this time, in ms: a frame may be lost. */
     private static final long OFFER_AGAIN_MS = 1_000;
 
+    /**
+     * Bits of an offer's number below those of the time in ms: a life that makes fewer offers per
+     * ms than these can count never reaches the numbers of the next.
+     */
+    private static final int OFFERS_PER_MS_BITS = 20;
+
     private final HeartbeatPace mPace;
     private final Map<String, Waiting> mWaiting = new HashMap<>();
     private final Map<Long, String> mJobs = new HashMap<>();
+    private final RecentJobs<HandOver> mHandedOver = new RecentJobs<>();
     private String mController = "";
     private long mFence;
     private long mHeardMs;
     private boolean mDraining;
-    private long mNextOffer = 1;
+
+    /**
+     * Numbers of offers begin with the time at which this process began, so that those of its later
+     * lives are higher, and no answer to one life's offer is taken for one to another's. If the
+     * clock was set back meanwhile by more than the VM was down, the controller takes new offers of
+     * a job that it refused before for late ones, for as long as it remembers the refusal.
+     */
+    private long mNextOffer;
+
     private long mNowMs;
     private List<EntryAction> mActions;
 
     private record Caller(long ticket, long arrivedMs, long giveUpMs) {}
 
+    /**
+     * What became of a job so far.
+     *
+     * @param controllers to how many controllers it has been offered
+     * @param fence fencing token of the last of them
+     */
+    private record HandOver(int controllers, long fence) {
+        static final HandOver NONE = new HandOver(0, 0);
+
+        HandOver to(long newFence) {
+            return newFence == fence ? this : new HandOver(controllers + 1, newFence);
+        }
+
+        /** Answer to a caller whose job isn't handed over now, nor will be. */
+        Verdict refusal(String reason) {
+            return controllers == 0
+                    ? new Verdict.Declined(reason, RETRY_AFTER_MS)
+                    : new Verdict.InDoubt(reason);
+        }
+    }
+
     private static final class Waiting {
         private final JobRequest mRequest;
         private final List<Caller> mCallers = new ArrayList<>();
-        private int mControllers;
+        private HandOver mHandOver;
         private long mOffer;
         private long mOfferedMs;
-        private long mOfferedFence;
 
-        private Waiting(JobRequest request) {
+        private Waiting(JobRequest request, HandOver before) {
             mRequest = request;
+            mHandOver = before;
+        }
+
+        /** True when it was offered since it waits. */
+        private boolean offered() {
+            return mOffer > 0;
         }
 
         /** When the last of its callers gives up. */
@@ -61,13 +102,18 @@
         }
     }
 
-    private EntryDesk(HeartbeatPace pace) {
+    private EntryDesk(HeartbeatPace pace, ClockReading began) {
         mPace = pace;
+        mNextOffer = (began.wallMs() << OFFERS_PER_MS_BITS) + 1;
     }
 
-    /** Makes a desk at which nobody waits. */
-    static EntryDesk create(HeartbeatPace pace) {
-        return new EntryDesk(pace);
+    /**
+     * Makes a desk at which nobody waits.
+     *
+     * @param began when this process began
+     */
+    static EntryDesk create(HeartbeatPace pace, ClockReading began) {
+        return new EntryDesk(pace, began);
     }
 
     /**
@@ -127,7 +173,7 @@
         String id = event.request().id();
         Caller caller = new Caller(event.ticket(), mNowMs, mNowMs + event.budgetMs());
         if (mDraining) {
-            decline(caller, id, "this VM is stopping");
+            reply(caller, id, handedOver(id).refusal("this VM is stopping"));
             return;
         }
         mJobs.put(event.ticket(), id);
@@ -136,7 +182,7 @@
             waiting.mCallers.add(caller);
             return;
         }
-        waiting = new Waiting(event.request());
+        waiting = new Waiting(event.request(), handedOver(id));
         waiting.mCallers.add(caller);
         mWaiting.put(id, waiting);
         if (controller(mNowMs).isPresent()) {
@@ -144,11 +190,13 @@
         }
     }
 
+    private HandOver handedOver(String job) {
+        return mHandedOver.find(job, mNowMs).orElse(HandOver.NONE);
+    }
+
     private void offer(Waiting waiting) {
-        if (waiting.mOfferedFence != mFence) {
-            waiting.mControllers++;
-            waiting.mOfferedFence = mFence;
-        }
+        waiting.mHandOver = waiting.mHandOver.to(mFence);
+        mHandedOver.note(waiting.mRequest.id(), waiting.mHandOver, mNowMs);
         waiting.mOfferedMs = mNowMs;
         waiting.mOffer = mNextOffer++;
         long arrivedMs = waiting.arrivedMs();
@@ -158,15 +206,11 @@
                         waiting.mRequest,
                         mNowMs - arrivedMs,
                         waiting.giveUpMs() - arrivedMs,
-                        waiting.mControllers,
+                        waiting.mHandOver.controllers(),
                         waiting.mOffer);
         mActions.add(new EntryAction.Tell(mController, message));
     }
 
-    private void decline(Caller caller, String job, String reason) {
-        reply(caller, job, new Verdict.Declined(reason, RETRY_AFTER_MS));
-    }
-
     private void reply(Caller caller, String job, Verdict verdict) {
         mJobs.remove(caller.ticket());
         long waitedMs = mNowMs - caller.arrivedMs();
@@ -187,13 +231,13 @@
 
     private void withdraw(String id, String cause) {
         Waiting waiting = mWaiting.remove(id);
-        if (waiting.mControllers > 0 && !mController.isEmpty()) {
+        if (waiting.offered() && !mController.isEmpty()) {
             mActions.add(new EntryAction.Tell(mController, new CellMessage.Withdraw(id)));
         }
+        int controllers = waiting.mHandOver.controllers();
         mActions.add(
                 new EntryAction.Log(
-                        Decision.job(
-                                "withdraw", id, "controllers=" + waiting.mControllers, cause)));
+                        Decision.job("withdraw", id, "controllers=" + controllers, cause)));
     }
 
     private void heard(EntryEvent.ControllerHeard heard) {
@@ -230,6 +274,9 @@
             return;
         }
         mWaiting.remove(event.job());
+        if (event.verdict() instanceof Verdict.Declined) {
+            mHandedOver.forget(event.job());
+        }
         for (Caller caller : waiting.mCallers) {
             reply(caller, event.job(), event.verdict());
         }
@@ -263,9 +310,9 @@
     private void giveUp(Waiting waiting) {
         String id = waiting.mRequest.id();
         for (Caller caller : List.copyOf(waiting.mCallers)) {
-            if (waiting.mControllers == 0 && mNowMs - caller.arrivedMs() > HAND_OVER_MS) {
+            if (!waiting.offered() && mNowMs - caller.arrivedMs() > HAND_OVER_MS) {
                 waiting.mCallers.remove(caller);
-                decline(caller, id, "no controller is known");
+                reply(caller, id, waiting.mHandOver.refusal("no controller is known"));
             } else if (mNowMs >= caller.giveUpMs()) {
                 waiting.mCallers.remove(caller);
                 reply(caller, id, new Verdict.InDoubt("no verdict in time"));
--- a/core/src/main/java/org/boragegap/core/cell/RunLedger.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunLedger.java
@@ -66,6 +66,7 @@
         task.began(run);
         target.add(run);
         task.job().startSent();
+        mTerm.noteStarted(task.job().id());
         mTerm.act(orderFor(run, target));
         return run;
     }
@@ -248,6 +249,7 @@
             run.reported(row.percent(), mTerm.nowMs());
             return;
         }
+        mTerm.noteStarted(row.task().job());
         Target.ForeignRun foreign = new Target.ForeignRun(row.task(), row.run());
         target.foreign().putIfAbsent(foreign, mTerm.nowMs());
         CellJob job = mTerm.jobs().get(row.task().job());
@@ -322,12 +324,13 @@
     }
 
     private void foreignEnd(TargetReport.EndedRow row) {
+        mTerm.noteStarted(row.task().job());
         if (row.cause().done()) {
             rememberDone(row.task());
         }
         CellJob job = mTerm.jobs().get(row.task().job());
-        if (job != null) {
-            creditDone(job);
+        if (job != null && creditDone(job)) {
+            mJobs.end(job, new Verdict.Completed());
         }
     }
 
@@ -349,9 +352,8 @@
         mTimes.add(queue, step, tookMs);
     }
 
-    /** Takes over what already runs, or has ended, of a job that was just offered. */
+    /** Takes over what already runs of a job that was just taken on. */
     void adopt(CellJob job) {
-        creditDone(job);
         for (Target target : mTerm.targets().values()) {
             for (Target.ForeignRun foreign : List.copyOf(target.foreign().keySet())) {
                 if (foreign.task().job().equals(job.id())) {
@@ -361,13 +363,27 @@
         }
     }
 
-    private void creditDone(CellJob job) {
+    /**
+     * Credits the job with what targets have reported as done; true when that was all of it. The
+     * ends stay known: the job may be refused now, and be offered again.
+     */
+    boolean creditDone(CellJob job) {
+        boolean all = false;
         for (CellTask task : job.tasks()) {
-            boolean done = mForeignDone.remove(task.name());
-            if (done && task.idle() && job.finish(task)) {
-                mJobs.end(job, new Verdict.Completed());
+            if (!task.done() && mForeignDone.contains(task.name())) {
+                all = creditDone(task);
             }
         }
+        return all;
+    }
+
+    /** The run that ended may have been taken for lost, so that the task runs again by now. */
+    private boolean creditDone(CellTask task) {
+        task.run().ifPresent(this::stop);
+        task.job().startSent();
+        boolean all = task.job().finish(task);
+        requeue(task);
+        return all;
     }
 
     private void adoptRun(CellJob job, Target target, Target.ForeignRun foreign) {
@@ -377,6 +393,7 @@
         }
         Run run = new Run(task, foreign.run(), target, mTerm.nowMs(), Run.State.RUNNING);
         task.began(run);
+        job.startSent();
         target.foreign().remove(foreign);
         target.add(run);
         mTerm.log(
