--- a/core/src/main/java/org/boragegap/core/cell/OrderResult.java
+++ b/core/src/main/java/org/boragegap/core/cell/OrderResult.java
@@ -16,7 +16,7 @@
     NO_ROOM,
     /** Another incarnation answers at the address. */
     OTHER_INCARNATION,
-    /** No answer; it may run now or seconds later. */
+    /** No answer, or one that proves nothing; it may run now or seconds later. */
     UNKNOWN;
 
     /** True when the target that the order was for has answered it. */
