Answers to calls of an earlier term say nothing of this one

Callers would see: a refusal or a wait of a second and more, since a controller in good health was deposed; at worst a task run twice at a time, since a term counted as settled before its targets had answered it.

Cause: lease calls were numbered from 1 in each term, and the events of their answers carry no term. A VM that controls the cell anew within the time of an answer took those to calls of its earlier term for answers to this term's: a late FENCED deposed the new term, and late reports settled it. The class: what is inferred (same number, same call) is taken for what was observed.

Change: the numbers go on over all terms of a VM; CellController keeps the next one beside what else outlives a term. Why it works: an answer to an earlier call finds no call of its number under way and is ignored, as any unknown one.

--- a/core/src/main/java/org/boragegap/core/cell/CellController.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -28,6 +28,7 @@
     private final RunTimes mTimes = new RunTimes();
     private final Evacuations mEvacuations = new Evacuations();
     private final CrashAccount mCrashes = new CrashAccount();
+    private long mNextCall = 1;
     private Term mTerm;
     private LeaseKeeper mLeases;
     private RunLedger mRuns;
@@ -116,7 +117,7 @@
         mTerm.actsUntil(mActsUntilMs);
         CrashWatch crashes = new CrashWatch(mTerm);
         mRuns = new RunLedger(mTerm, mTimes);
-        mLeases = new LeaseKeeper(mTerm, mRuns, crashes);
+        mLeases = new LeaseKeeper(mTerm, mRuns, crashes, () -> mNextCall++);
         mPlacement = new Placement(mTerm, mSettings);
         mJobs = new JobBook(mTerm, mPlacement, new Admission(mTerm, mTimes), mRuns, crashes);
         mRuns.connect(mJobs, mLeases);
--- a/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.LongSupplier;
 
 /** Keeps the list of targets, extends their leases and asks for their reports. */
 final class LeaseKeeper {
@@ -54,13 +55,20 @@
     private final Term mTerm;
     private final RunLedger mRuns;
     private final CrashWatch mCrashes;
-    private long mNextCall = 1;
+    private final LongSupplier mCallNumbers;
     private List<TargetInfo> mAnnounced = List.of();
 
-    LeaseKeeper(Term term, RunLedger runs, CrashWatch crashes) {
+    /**
+     * Makes a keeper.
+     *
+     * @param callNumbers a new number for each call, over all terms of this VM: an answer to a call
+     *     of an earlier term says nothing of this one
+     */
+    LeaseKeeper(Term term, RunLedger runs, CrashWatch crashes, LongSupplier callNumbers) {
         mTerm = term;
         mRuns = runs;
         mCrashes = crashes;
+        mCallNumbers = callNumbers;
     }
 
     /**
@@ -164,7 +172,7 @@
      * tasks started nowhere else until it was back.
      */
     private LeaseCalls.Call send(Target target, long waitMs) {
-        long call = mNextCall++;
+        long call = mCallNumbers.getAsLong();
         long untilMs = 0;
         if (target.reported() && !target.calls().silent()) {
             untilMs = target.leaseUntil(mTerm.nowMs(), LEASE_MS, mTerm.actsUntilMs());
