A report full of ends proves no absence

Callers would see: a task done twice, or late, since a run that had ended was taken for gone and its task started elsewhere; its end was then dropped.

Cause: a target lists 500 ends at a time, and those beyond only once the first are acknowledged. A run that is neither at work nor among the listed ends was taken for 'not there', although its end may be one that is held back. The class: what is inferred (not listed, so not there) is taken for what was observed.

Change: only a report with fewer than 500 ends (TargetReport.listsAllEnds) proves what is absent, for own runs and those of an earlier term. Why it works: all that it lists is acknowledged, so the next report lists the ends that were held back, and what that one doesn't list is not there.

ReportedAbsenceTest: three of its four tests failed before (two starts for one; no verdict; a start beside a finished run) and pass; aReportOfAllEndsProvesIt passed before, too.

--- a/core/src/main/java/org/boragegap/core/cell/RunLedger.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunLedger.java
@@ -226,6 +226,9 @@
             listed.put(row.task(), row);
             running(target, row);
         }
+        if (!report.listsAllEnds()) {
+            return;
+        }
         target.foreign().keySet().removeIf(foreign -> !listed.containsKey(foreign.task()));
         for (Run run : new ArrayList<>(target.runs().values())) {
             if (listed.containsKey(run.task().name())) {
--- a/core/src/main/java/org/boragegap/core/cell/TargetReport.java
+++ b/core/src/main/java/org/boragegap/core/cell/TargetReport.java
@@ -10,6 +10,13 @@
  * @param ended what has ended and was not acknowledged yet, oldest first
  */
 public record TargetReport(long clockMs, List<RunningRow> running, List<EndedRow> ended) {
+    /** How many ends a target lists at a time; it lists the others once these are acknowledged. */
+    private static final int MOST_ENDED = 500;
+
+    /** True when no end can be held back, so that a run that isn't listed is not there. */
+    boolean listsAllEnds() {
+        return ended.size() < MOST_ENDED;
+    }
 
     /**
      * A run at work.
--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/cell/ReportedAbsenceTest.java
@@ -0,0 +1,104 @@
+package org.boragegap.core.cell;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** A target lists a limited number of ends at a time: what it doesn't list may be an end. */
+final class ReportedAbsenceTest {
+    private static final String JOB = "00000000000000c1";
+    private static final String OTHER_JOB = "00000000000000c2";
+    private static final TaskName TASK = new TaskName(JOB, 0, 0, 0);
+    private static final TargetInfo FIRST = ScriptedCell.target("t1", "x:1", "a", 2_000);
+    private static final TargetInfo SECOND = ScriptedCell.target("t2", "x:2", "a", 2_000);
+
+    /** How many ends the platform's targets list at a time. */
+    private static final int LISTED_AT_A_TIME = 500;
+
+    private final ScriptedCell mCell = new ScriptedCell();
+
+    @BeforeEach
+    void operatorsWantNothingEmptied() {
+        mCell.evacuate(0);
+    }
+
+    private static List<TargetReport.EndedRow> endsOfOthers(int count) {
+        List<TargetReport.EndedRow> ends = new ArrayList<>();
+        for (int i = 1; i <= count; i++) {
+            TaskName task = new TaskName(OTHER_JOB, 0, 0, i);
+            ends.add(new TargetReport.EndedRow(i, task, 1, EndCause.DONE));
+        }
+        return ends;
+    }
+
+    private static TargetReport.EndedRow done(long number, int run) {
+        return new TargetReport.EndedRow(number, TASK, run, EndCause.DONE);
+    }
+
+    @Nested
+    final class OfAnOwnRun {
+        private CellAction.StartRun mStart;
+
+        @BeforeEach
+        void runsAndIsReported() {
+            mCell.begin(0, 7, FIRST, SECOND);
+            mCell.listed(5, FIRST, SECOND);
+            mCell.offer(10, JOB, 1);
+            mStart = mCell.starts().get(0);
+            mCell.take(12, mStart);
+            report(20, List.of(new TargetReport.RunningRow(TASK, mStart.run(), 50)), List.of());
+        }
+
+        private void report(
+                long ms, List<TargetReport.RunningRow> running, List<TargetReport.EndedRow> ended) {
+            mCell.report(ms, mStart.target().id(), running, ended);
+        }
+
+        /** Guards against a run being taken for gone while the target holds back its end. */
+        @Test
+        void aReportFullOfEndsProvesNoAbsence() {
+            report(30, List.of(), endsOfOthers(LISTED_AT_A_TIME));
+            mCell.ticks(40, 200);
+            assertThat(mCell.starts()).hasSize(1);
+        }
+
+        @Test
+        void itsEndIsHeardOfInTheNextReport() {
+            report(30, List.of(), endsOfOthers(LISTED_AT_A_TIME));
+            report(40, List.of(), List.of(done(LISTED_AT_A_TIME + 1, mStart.run())));
+            assertThat(mCell.verdicts()).containsExactly(new Verdict.Completed());
+        }
+
+        /** Guards against a task that waits for good for a run that its target doesn't have. */
+        @Test
+        void aReportOfAllEndsProvesIt() {
+            report(30, List.of(), endsOfOthers(LISTED_AT_A_TIME));
+            report(40, List.of(), List.of());
+            mCell.ticks(50, 200);
+            assertThat(mCell.starts()).hasSize(2);
+        }
+    }
+
+    @Nested
+    final class OfARunOfAnEarlierTerm {
+        /** Guards against a task being done again while the target holds back its end. */
+        @Test
+        void aReportFullOfEndsProvesNoAbsence() {
+            mCell.on(0, new CellEvent.TermBegan(9, Optional.of(List.of(FIRST))));
+            TargetReport.RunningRow row = new TargetReport.RunningRow(TASK, 1, 50);
+            mCell.report(5, FIRST.id(), List.of(row), List.of());
+            mCell.on(6, new CellEvent.PredecessorsKnown(true));
+            mCell.listed(6, FIRST);
+            mCell.report(10, FIRST.id(), List.of(), endsOfOthers(LISTED_AT_A_TIME));
+            mCell.offer(20, JOB, 1);
+            mCell.report(30, FIRST.id(), List.of(), List.of(done(LISTED_AT_A_TIME + 1, 1)));
+            assertThat(mCell.starts()).isEmpty();
+            assertThat(mCell.verdicts()).containsExactly(new Verdict.Completed());
+        }
+    }
+}
