Lent room is given back by its borrower alone, in its owner's present life

Callers would see: late answers and rejected starts, since a target was given more than its room: room in which one VM was at work was freed by another VM's word, or by one that belonged to a loan of the owner's earlier life.

Cause: a loan's number begins at 1 in each life of its owner, and Lender didn't look at who gave back. The class: what is inferred (same number, same loan) is taken for what was observed.

Change: loan numbers begin at the owner's incarnation shifted by 20 bits, and a return counts only if it comes from the borrower of that loan. Why it works: incarnations are start times in ms, so two lives would share a number only if the earlier one had lent a million times for each ms between their starts; a return of another VM or another life finds no loan of its own.

LoanIdentityTest: all three tests failed with the old numbers and without the check (0 lent for 1; equal numbers) and pass. HistoriesProperties, DispatcherTest, ClaimProtocolTest and ArchitectureTest pass.

--- a/core/src/main/java/org/boragegap/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/Dispatcher.java
@@ -56,6 +56,7 @@
         mTargets.own(this::owns);
         mJobs =
                 new JobBoard(
+                        self.incarnation(),
                         settings,
                         mTargets,
                         mBundles.chain()::content,
--- a/core/src/main/java/org/boragegap/core/dispatch/JobBoard.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/JobBoard.java
@@ -62,6 +62,7 @@
     private int mUnanswered;
 
     JobBoard(
+            long incarnation,
             DispatchSettings settings,
             TargetPool targets,
             Supplier<BundleContent> bundle,
@@ -73,7 +74,7 @@
         mKept = new KeptAnswers(settings.answerKeepMs());
         mBundle = bundle;
         mSiblings = siblings;
-        mPlacer = Placer.create(targets);
+        mPlacer = Placer.create(targets, incarnation);
         mCounters = counters;
         mAdmission = new Admission(settings, targets, bundle, siblings, mBacklog, mStatistics);
         mRetries = RetryBudget.create(settings.retryShare(), settings.retryCap());
--- a/core/src/main/java/org/boragegap/core/placement/Lender.java
+++ b/core/src/main/java/org/boragegap/core/placement/Lender.java
@@ -24,6 +24,9 @@
     private static final long MARGIN_MS = 5_000;
     private static final long RECALL_EVERY_MS = 200;
 
+    /** Leaves more numbers for each ms between the starts of two runs than can be lent in it. */
+    private static final int INCARNATION_SHIFT = 20;
+
     private record AskKey(String borrower, String service) {}
 
     private static final class Standing {
@@ -56,16 +59,22 @@
     private final TargetPool mTargets;
     private final Map<AskKey, Standing> mAsks = new LinkedHashMap<>();
     private final Map<Long, Loan> mLoans = new LinkedHashMap<>();
-    private long mNextLoan = 1;
+    private long mNextLoan;
     private long mRecalledMs = Long.MIN_VALUE / 2;
 
-    private Lender(TargetPool targets) {
+    private Lender(TargetPool targets, long firstLoan) {
         mTargets = targets;
+        mNextLoan = firstLoan;
     }
 
-    /** Makes a lender of the pool's owned targets. */
-    public static Lender create(TargetPool targets) {
-        return new Lender(targets);
+    /**
+     * Makes a lender of the pool's owned targets.
+     *
+     * @param incarnation number of this run of the process; loans of two runs have different
+     *     numbers, since what is given back may belong to an earlier one
+     */
+    public static Lender create(TargetPool targets, long incarnation) {
+        return new Lender(targets, incarnation << INCARNATION_SHIFT);
     }
 
     /** How much is lent, in tasks at once. */
@@ -135,14 +144,14 @@
         return new LoanMessage.Given(ask.service(), lines);
     }
 
-    /** Takes room back; what comes for a loan that has ended is ignored. */
-    public void onBack(LoanMessage.Back back, long nowMs) {
-        back.returns().forEach(each -> onReturn(each, nowMs));
+    /** Takes room back; what comes for a loan that has ended, or of another VM, is ignored. */
+    public void onBack(String borrower, LoanMessage.Back back, long nowMs) {
+        back.returns().forEach(each -> onReturn(borrower, each, nowMs));
     }
 
-    private void onReturn(LoanMessage.Return back, long nowMs) {
+    private void onReturn(String borrower, LoanMessage.Return back, long nowMs) {
         Loan loan = mLoans.get(back.loanId());
-        if (loan == null) {
+        if (loan == null || !loan.mBorrower.equals(borrower)) {
             return;
         }
         int count = Math.min(back.count(), loan.mCount);
--- a/core/src/main/java/org/boragegap/core/placement/Placer.java
+++ b/core/src/main/java/org/boragegap/core/placement/Placer.java
@@ -27,14 +27,18 @@
     private final Borrower mBorrower = Borrower.create();
     private final Map<String, Need> mUnplaced = new HashMap<>();
 
-    private Placer(TargetPool targets) {
+    private Placer(TargetPool targets, long incarnation) {
         mTargets = targets;
-        mLender = Lender.create(targets);
+        mLender = Lender.create(targets, incarnation);
     }
 
-    /** Makes a placer on a pool of targets. */
-    public static Placer create(TargetPool targets) {
-        return new Placer(targets);
+    /**
+     * Makes a placer on a pool of targets.
+     *
+     * @param incarnation number of this run of the process, larger for later ones at its address
+     */
+    public static Placer create(TargetPool targets, long incarnation) {
+        return new Placer(targets, incarnation);
     }
 
     /** The targets. */
@@ -109,7 +113,7 @@
         } else if (message instanceof LoanMessage.Recall recall) {
             mBorrower.onRecall(from, recall);
         } else if (message instanceof LoanMessage.Back back) {
-            mLender.onBack(back, nowMs);
+            mLender.onBack(from, back, nowMs);
         }
     }
 
