A target that is back after its leave takes work

Callers would see: rejected or late submissions for as long as the entry VM lives, since a target that was back stood idle; with all targets of a service renewed once, nothing took its work.

Cause: a target that refused work since it was leaving counted as leaving for good. Its successor at the address was taken for it if it equalled it in service, room and slots. The class: what is inferred (same address and shape, same target) is taken for what was observed.

Change: what the target said of itself counts until the list, having shown it as leaving or not at all, shows it as ready again (TargetState.listed). Why it works: a list that lags behind the target's word has not yet shown the leave, so the word stands; one that has shown it and shows the target as ready speaks of a later time. A list that errs costs one more refusal.

TargetPoolTest.SaidToLeave: backAfterItWasListedAsLeaving, backAfterItWasNotListed and backWithNothingAtWork failed before (no work) and pass; the other two passed before, too. DispatcherTest and HistoriesProperties pass.

--- a/core/src/main/java/org/boragegap/core/placement/TargetPool.java
+++ b/core/src/main/java/org/boragegap/core/placement/TargetPool.java
@@ -56,20 +56,18 @@
      */
     public void onListed(List<Target> listed, Set<String> leaving) {
         Map<String, TargetState> before = new HashMap<>(mTargets);
-        mTargets.values().removeIf(state -> state.running() == 0);
-        mTargets.values().forEach(TargetState::markLeaving);
+        mTargets.clear();
         for (Target target : listed) {
             TargetState known = before.get(target.address());
             boolean same = known != null && known.target().equals(target);
             TargetState state = same ? known : new TargetState(target);
-            if (same) {
-                state.relist();
-            }
-            if (leaving.contains(target.address())) {
-                state.markLeaving();
-            }
+            state.listed(leaving.contains(target.address()));
             mTargets.put(target.address(), state);
         }
+        before.keySet().removeAll(mTargets.keySet());
+        before.values().removeIf(state -> state.running() == 0);
+        before.values().forEach(state -> state.listed(true));
+        mTargets.putAll(before);
         index();
     }
 
@@ -134,7 +132,7 @@
                 outcome instanceof Outcome.NotRun refused
                         && refused.cause() == RefusalCause.LEAVING;
         if (leaving) {
-            state.markLeavingForGood();
+            state.saidLeaving();
         }
     }
 
--- a/core/src/main/java/org/boragegap/core/placement/TargetState.java
+++ b/core/src/main/java/org/boragegap/core/placement/TargetState.java
@@ -49,18 +49,18 @@
         return mFailuresInRow >= FAILURES_TO_QUARANTINE;
     }
 
-    void markLeaving() {
-        mListedLeaving = true;
-    }
-
     /** The target said so itself, which goes before a list that lags. */
-    void markLeavingForGood() {
+    void saidLeaving() {
         mSaidLeaving = true;
     }
 
-    /** The list shows the target again after a while without it. */
-    void relist() {
-        mListedLeaving = false;
+    /**
+     * Takes what the list says; one that lacks the target says that it is leaving. A target that is
+     * back after that, or its successor, has said nothing yet.
+     */
+    void listed(boolean leaving) {
+        mSaidLeaving &= leaving || !mListedLeaving;
+        mListedLeaving = leaving;
     }
 
     /** Share of the target in use, as accounted for here. */
