Answers to starts of an earlier term say nothing of this one

Callers would see: a task run twice at a time, or a wait since a controller in good health was deposed.

Cause: run numbers of a job that another entry VM hands over begin at 1 again, so a VM that controls the cell anew may order the same run of the same task on the same target as its earlier term did. The answer to the earlier order names no term and was taken for that of the later one: NOT_SENT released a run that its target was about to take, FENCED deposed the new term, DONE confirmed an order that the target then rejected. The class: what is inferred (same run number, same order) is taken for what was observed.

Change: StartAnswered carries the fencing token of its order, and the ledger settles a run only by answers to orders of its own term. Why it works: a token names one term of one VM. That a target has answered, or that another incarnation is there, is true whichever term asked, and still counts. Stops need no token: a target that has acknowledged one rejects that run for good, whoever asked.

EarlierTermTest.Starts: anEarlierOrderThatFailedReleasesNothing (four results), anEarlierOrderThatWasTakenConfirmsNothing and aRejectedOrderOfAnEarlierTermDeposesNobody failed before (three starts for two; no further start; Deposed) and pass; aRejectedOrderOfThisTermDeposes passed before, too.

--- a/core/src/main/java/org/boragegap/core/cell/CellEvent.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellEvent.java
@@ -100,9 +100,10 @@
      * @param target id of the target
      * @param task the task
      * @param run number of the start
+     * @param fence fencing token of the term that ordered it; another may have used the number
      * @param result what became of it
      */
-    record StartAnswered(String target, TaskName task, int run, OrderResult result)
+    record StartAnswered(String target, TaskName task, int run, long fence, OrderResult result)
             implements CellEvent {}
 
     /**
--- a/core/src/main/java/org/boragegap/core/cell/RunLedger.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunLedger.java
@@ -108,7 +108,9 @@
         if (event.result().fromTarget()) {
             mLeases.heardOf(target);
         }
-        target.run(event.task(), event.run()).ifPresent(run -> answered(run, event.result()));
+        if (event.fence() == mTerm.fence()) {
+            target.run(event.task(), event.run()).ifPresent(run -> answered(run, event.result()));
+        }
         if (event.result() == OrderResult.OTHER_INCARNATION) {
             mLeases.replaced(target);
         }
--- a/core/src/test/java/org/boragegap/core/cell/EarlierTermTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/EarlierTermTest.java
@@ -9,6 +9,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** A VM controls the cell anew while answers to orders of its earlier term are under way. */
 final class EarlierTermTest {
@@ -82,4 +84,57 @@
             assertThat(mCell.starts()).isEmpty();
         }
     }
+
+    @Nested
+    final class Starts {
+        private static final String JOB = "00000000000000c1";
+
+        private CellAction.StartRun mEarlier;
+        private CellAction.StartRun mLater;
+
+        /** Both terms order the same run of the same task on the same target. */
+        @BeforeEach
+        void sameRunInTwoTerms() {
+            mCell.offer(10, JOB, 1);
+            mEarlier = mCell.starts().get(0);
+            mCell.on(20, new CellEvent.TermEnded());
+            mCell.begin(30, 9, mEarlier.target());
+            mCell.listed(35, mEarlier.target());
+            mCell.offer(40, JOB, 1);
+            mLater = mCell.starts().get(1);
+            assertThat(mLater.run()).isEqualTo(mEarlier.run());
+            assertThat(mLater.target()).isEqualTo(mEarlier.target());
+        }
+
+        /** Guards against a task run twice at a time since an order of an earlier term failed. */
+        @ParameterizedTest
+        @EnumSource(names = {"NOT_SENT", "NOT_RUN", "NO_ROOM", "OLD_RUN"})
+        void anEarlierOrderThatFailedReleasesNothing(OrderResult result) {
+            mCell.answer(50, mEarlier, result);
+            mCell.ticks(60, 200);
+            assertThat(mCell.starts()).hasSize(2);
+        }
+
+        /** Guards against a run being taken for confirmed that its target may not have. */
+        @Test
+        void anEarlierOrderThatWasTakenConfirmsNothing() {
+            mCell.answer(50, mEarlier, OrderResult.DONE);
+            mCell.answer(60, mLater, OrderResult.NO_ROOM);
+            mCell.ticks(70, 1_000);
+            assertThat(mCell.starts().size()).isGreaterThan(2);
+        }
+
+        /** Guards against a term that ends since a target rejects an order of an earlier term. */
+        @Test
+        void aRejectedOrderOfAnEarlierTermDeposesNobody() {
+            mCell.answer(50, mEarlier, OrderResult.FENCED);
+            assertThat(mCell.actions(CellAction.Deposed.class)).isEmpty();
+        }
+
+        @Test
+        void aRejectedOrderOfThisTermDeposes() {
+            mCell.answer(50, mLater, OrderResult.FENCED);
+            assertThat(mCell.actions(CellAction.Deposed.class)).hasSize(1);
+        }
+    }
 }
--- a/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
@@ -146,7 +146,11 @@
     void start(CellAction.StartRun order, long takesMs, boolean fails, Consumer<CellEvent> reply) {
         reply.accept(
                 new CellEvent.StartAnswered(
-                        mInfo.id(), order.task(), order.run(), result(order, takesMs, fails)));
+                        mInfo.id(),
+                        order.task(),
+                        order.run(),
+                        order.fence(),
+                        result(order, takesMs, fails)));
     }
 
     private OrderResult result(CellAction.StartRun order, long takesMs, boolean fails) {
--- a/core/src/test/java/org/boragegap/core/cell/IdleTargetsTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/IdleTargetsTest.java
@@ -111,7 +111,11 @@
             idleTarget(5);
             offer(200, "00000000000000a1");
             assertThat(starts()).hasSize(1);
-            on(205, new CellEvent.StartAnswered("t", starts().get(0).task(), 1, OrderResult.DONE));
+            CellAction.StartRun start = starts().get(0);
+            on(
+                    205,
+                    new CellEvent.StartAnswered(
+                            "t", start.task(), start.run(), start.fence(), OrderResult.DONE));
             int before = calls().size();
             ticks(210, 520);
             assertThat(calls().size()).isGreaterThan(before);
--- a/core/src/test/java/org/boragegap/core/cell/Orders.java
+++ b/core/src/test/java/org/boragegap/core/cell/Orders.java
@@ -27,7 +27,8 @@
             return new CellEvent.LeaseFailed(id, extend.call(), OrderResult.UNKNOWN);
         }
         if (order instanceof CellAction.StartRun start) {
-            return new CellEvent.StartAnswered(id, start.task(), start.run(), OrderResult.UNKNOWN);
+            return new CellEvent.StartAnswered(
+                    id, start.task(), start.run(), start.fence(), OrderResult.UNKNOWN);
         }
         CellAction.StopRun stop = (CellAction.StopRun) order;
         return new CellEvent.StopAnswered(id, stop.task(), stop.run(), false);
--- a/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
+++ b/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
@@ -98,7 +98,10 @@
     }
 
     void answer(long ms, CellAction.StartRun start, OrderResult result) {
-        on(ms, new CellEvent.StartAnswered(start.target().id(), start.task(), start.run(), result));
+        on(
+                ms,
+                new CellEvent.StartAnswered(
+                        start.target().id(), start.task(), start.run(), start.fence(), result));
     }
 
     <T extends CellAction> List<T> actions(Class<T> kind) {
--- a/entry/src/main/java/org/boragegap/entry/cell/OrderSender.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/OrderSender.java
@@ -41,7 +41,7 @@
                 result ->
                         mCell.accept(
                                 new CellEvent.StartAnswered(
-                                        id, order.task(), order.run(), result)));
+                                        id, order.task(), order.run(), order.fence(), result)));
     }
 
     void stop(CellAction.StopRun order) {
