A VM that is heard of is not taken for dead by a list

Callers would see: one submission started by two entry VMs, since a VM took over the view of another that still runs.

Cause: a member that the platform's list lacked for 60 s counted as gone for good, as one that left or was replaced: being heard of, or listed again, changed nothing. The class: what is inferred (not listed, so dead) is taken for what was observed.

Change: members that the list lacks are kept apart from those proved gone, are those of the newest list only, and count as dead only while they are also silent for the time of suspicion. Why it works: a VM whose messages arrive is alive, and what was heard goes before a list that may be wrong.

Not covered: a VM outside a view isn't sent that view's heartbeats, so there a live member may well be silent.

UnlistedMemberTest: oneThatIsHeardOfIsNotTakenForDead, oneThatIsHeardOfAgainAndAgainIsNotTakenForDead and oneThatIsListedAgainIsNotTakenForDead failed before (a view of c:1 alone was proposed) and pass; the other two passed before, too. ClaimProtocolTest, ViewLogTest, DispatcherTest and HistoriesProperties pass.

--- a/core/src/main/java/org/boragegap/core/claim/ViewKeeper.java
+++ b/core/src/main/java/org/boragegap/core/claim/ViewKeeper.java
@@ -31,6 +31,7 @@
     private final Map<Member, Long> mHeardMs = new HashMap<>();
     private final Map<Member, Long> mJoinersMs = new HashMap<>();
     private final Set<Member> mGone = new HashSet<>();
+    private final Set<Member> mUnlisted = new HashSet<>();
     private final Set<Member> mCompletePeers = new HashSet<>();
     private boolean mComplete;
     private final Map<Member, Long> mSentMs = new HashMap<>();
@@ -155,6 +156,7 @@
         mCompletePeers.clear();
         mJoinersMs.keySet().removeAll(view.members());
         mGone.retainAll(view.members());
+        mUnlisted.retainAll(view.members());
         for (Member member : view.members()) {
             mHeardMs.put(member, clock.monotonicMs());
         }
@@ -174,11 +176,15 @@
                 .ifPresent(mGone::add);
     }
 
-    /** The platform no longer lists the VMs at these addresses, and they are no newcomers to it. */
+    /**
+     * The platform no longer lists the VMs at these addresses, and they are no newcomers to it. The
+     * list may be wrong, so it counts only for members that are silent.
+     */
     void onVmsGone(Set<String> addresses) {
+        mUnlisted.clear();
         for (Member member : head().map(DomainView::members).orElse(List.of())) {
             if (addresses.contains(member.address()) && !member.equals(mSelf)) {
-                mGone.add(member);
+                mUnlisted.add(member);
             }
         }
     }
@@ -259,11 +265,15 @@
                 .ifPresent(mGone::add);
         List<Member> others =
                 view.members().stream().filter(member -> !member.equals(mSelf)).toList();
-        if (mReachedEnd && mGone.containsAll(others)) {
+        if (mReachedEnd && others.stream().allMatch(member -> dead(member, clock))) {
             takeOver(view, clock, out);
         }
     }
 
+    private boolean dead(Member member, ClockReading clock) {
+        return mGone.contains(member) || mUnlisted.contains(member) && silent(member, clock);
+    }
+
     /** All former members are proved dead, so nothing but coverage is lost by starting afresh. */
     private void takeOver(DomainView lost, ClockReading clock, List<ClaimAction> out) {
         propose(
@@ -315,8 +325,12 @@
         if (member.equals(mSelf)) {
             return false;
         }
+        return mGone.contains(member) || silent(member, clock);
+    }
+
+    private boolean silent(Member member, ClockReading clock) {
         long silentMs = clock.monotonicMs() - mHeardMs.getOrDefault(member, clock.monotonicMs());
-        return mGone.contains(member) || silentMs > mLimits.suspectMs();
+        return silentMs > mLimits.suspectMs();
     }
 
     private Set<Member> nextMembers(DomainView view, ClockReading clock) {
--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/claim/UnlistedMemberTest.java
@@ -0,0 +1,99 @@
+package org.boragegap.core.claim;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.boragegap.core.ClockReading;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A VM finds a view whose only member the platform's list lacks. */
+final class UnlistedMemberTest {
+    private static final ClaimLimits LIMITS = ClaimLimits.defaults();
+    private static final long WALL_MS = 1_000_000;
+    private static final long MISSING_MS = 60_000;
+    private static final long TICK_MS = 100;
+    private static final Member A = new Member("a:1", 1);
+    private static final Member C = new Member("c:1", 1);
+    private static final DomainView ALONE =
+            new DomainView(WALL_MS, 6, DomainView.NO_PARENT, List.of(A), List.of(), 0);
+    private static final LoggedView LOGGED =
+            new LoggedView(0, ViewRecord.proposal("fd", ALONE), WALL_MS, 0);
+
+    private final ClaimProtocol mC = ClaimProtocol.create(C, "fd", LIMITS, () -> 2);
+    private final List<ClaimAction> mActions = new ArrayList<>();
+
+    private static ClockReading at(long ms) {
+        return new ClockReading(ms, WALL_MS + ms);
+    }
+
+    private void hears(long ms) {
+        ClaimMessage heartbeat =
+                new ClaimMessage.ViewIs(ALONE, true, 10, 0, ClaimMessage.ViewIs.NO_ECHO);
+        mC.onMessage(A, heartbeat, at(ms), mActions);
+    }
+
+    private void ticks(long fromMs, long untilMs, Set<String> unlisted) {
+        for (long ms = fromMs; ms <= untilMs; ms += TICK_MS) {
+            mC.onVmsGone(unlisted);
+            mC.onTick(at(ms), mActions);
+        }
+    }
+
+    private List<ViewRecord> proposals() {
+        return mActions.stream()
+                .filter(ClaimAction.Append.class::isInstance)
+                .map(action -> ((ClaimAction.Append) action).record())
+                .filter(record -> record.kind() == ViewRecord.Kind.PROPOSED)
+                .toList();
+    }
+
+    @BeforeEach
+    void readsTheView() {
+        LogBatch batch = new LogBatch(List.of(LOGGED), 0, 1, WALL_MS, true);
+        mC.onLog(batch, at(0), new ArrayList<>());
+    }
+
+    /** Guards against a VM that answers being taken for dead since a list lacks it. */
+    @Test
+    void oneThatIsHeardOfIsNotTakenForDead() {
+        mC.onVmsGone(Set.of(A.address()));
+        hears(MISSING_MS);
+        mC.onTick(at(MISSING_MS + 10), mActions);
+        assertThat(proposals()).isEmpty();
+    }
+
+    /** Guards against the same where the list goes on lacking it. */
+    @Test
+    void oneThatIsHeardOfAgainAndAgainIsNotTakenForDead() {
+        for (long ms = 0; ms <= MISSING_MS; ms += LIMITS.suspectMs() / 2) {
+            hears(ms);
+            ticks(ms, ms + LIMITS.suspectMs() / 2 - TICK_MS, Set.of(A.address()));
+        }
+        assertThat(proposals()).isEmpty();
+    }
+
+    /** Guards against one that the list shows again being taken for dead when it is silent. */
+    @Test
+    void oneThatIsListedAgainIsNotTakenForDead() {
+        mC.onVmsGone(Set.of(A.address()));
+        ticks(MISSING_MS, 2 * MISSING_MS, Set.of());
+        assertThat(proposals()).isEmpty();
+    }
+
+    @Test
+    void oneThatIsSilentIsTakenForDead() {
+        ticks(MISSING_MS, MISSING_MS + 2 * LIMITS.suspectMs(), Set.of(A.address()));
+        assertThat(proposals()).isNotEmpty();
+    }
+
+    @Test
+    void oneThatIsReplacedIsDeadAtOnce() {
+        Member replacement = new Member(A.address(), A.incarnation() + 1);
+        mC.onMessage(replacement, new ClaimMessage.Join(), at(10), mActions);
+        mC.onTick(at(20), mActions);
+        assertThat(proposals()).isNotEmpty();
+    }
+}
