--- a/core/src/main/java/org/boragegap/core/cell/CellController.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -32,6 +32,7 @@
     /** Jobs that have started, each with the fencing token of the last term that knew of it. */
     private final RecentJobs<Long> mStarted = new RecentJobs<>();
 
+    private long mNextCall = 1;
     private Term mTerm;
     private LeaseKeeper mLeases;
     private RunLedger mRuns;
@@ -120,7 +121,7 @@
         mTerm.actsUntil(mActsUntilMs);
         CrashWatch crashes = new CrashWatch(mTerm);
         mRuns = new RunLedger(mTerm, mTimes, crashes);
-        mLeases = new LeaseKeeper(mTerm, mRuns, crashes);
+        mLeases = new LeaseKeeper(mTerm, mRuns, crashes, () -> mNextCall++);
         mPlacement = new Placement(mTerm, mSettings);
         mJobs = new JobBook(mTerm, mPlacement, new Admission(mTerm, mTimes), mRuns, crashes);
         mRuns.connect(mJobs, mLeases);
--- a/core/src/main/java/org/boragegap/core/cell/RunLedger.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunLedger.java
@@ -111,7 +111,9 @@
         if (event.result().fromTarget()) {
             mLeases.heardOf(target);
         }
-        target.run(event.task(), event.run()).ifPresent(run -> answered(run, event.result()));
+        if (event.fence() == mTerm.fence()) {
+            target.run(event.task(), event.run()).ifPresent(run -> answered(run, event.result()));
+        }
         if (event.result() == OrderResult.OTHER_INCARNATION) {
             mLeases.replaced(target);
         }
@@ -229,6 +231,9 @@
             listed.put(row.task(), row);
             running(target, row);
         }
+        if (!report.listsAllEnds()) {
+            return;
+        }
         target.foreign().keySet().removeIf(foreign -> !listed.containsKey(foreign.task()));
         for (Run run : new ArrayList<>(target.runs().values())) {
             if (listed.containsKey(run.task().name())) {
--- a/core/src/test/java/org/boragegap/core/cell/Orders.java
+++ b/core/src/test/java/org/boragegap/core/cell/Orders.java
@@ -32,7 +32,8 @@
             return new CellEvent.LeaseFailed(id, extend.call(), result);
         }
         if (order instanceof CellAction.StartRun start) {
-            return new CellEvent.StartAnswered(id, start.task(), start.run(), result);
+            return new CellEvent.StartAnswered(
+                    id, start.task(), start.run(), start.fence(), result);
         }
         CellAction.StopRun stop = (CellAction.StopRun) order;
         return new CellEvent.StopAnswered(id, stop.task(), stop.run(), false);
