A target that refuses connections is silent, and its leases end

Callers waited for a run on a target whose process had died until another incarnation answered there, or until their time was over; and new tasks were ordered to it every 100 ms. The incident's class: what is known not to have been sent was taken for what may have arrived.

Change: two calls in a row that couldn't be sent make a target silent, as two without an answer do: its leases aren't extended, and it is given no work until it answers.

--- a/core/src/main/java/org/boragegap/core/cell/LeaseCalls.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseCalls.java
@@ -12,7 +12,10 @@
  * still counts.
  */
 final class LeaseCalls {
-    /** Overdue calls in a row after which the target counts as silent: one lost answer is not. */
+    /**
+     * Calls in a row, overdue or not sent, after which the target counts as silent: one lost answer
+     * is not.
+     */
     private static final int OVERDUE_TO_BE_SILENT = 2;
 
     /** The pause between two standing calls doubles with each overdue one, this often at most. */
@@ -40,6 +43,7 @@
     private Call mStanding;
     private Call mLook;
     private int mOverdueInRow;
+    private int mNotSentInRow;
     private long mNextMs;
     private long mAnsweredMs;
 
@@ -74,6 +78,7 @@
     boolean answered(long nowMs) {
         boolean lost = mOverdueInRow > 0;
         mOverdueInRow = 0;
+        mNotSentInRow = 0;
         mAnsweredMs = nowMs;
         mNextMs = nowMs;
         return lost;
@@ -120,18 +125,23 @@
         return true;
     }
 
+    /** A call couldn't be sent, since the target takes no connection. */
+    void notSent() {
+        mNotSentInRow++;
+    }
+
     /** An order of another kind is overdue. */
     void orderOverdue() {
         mOverdueInRow = Math.max(mOverdueInRow, 1);
     }
 
-    /** True when the answer to the last order is overdue. */
+    /** True when the last order got no answer in time, or couldn't be sent. */
     boolean lastWasOverdue() {
-        return mOverdueInRow > 0;
+        return mOverdueInRow > 0 || mNotSentInRow > 0;
     }
 
     /** True when the target gives no answer at all, as far as is known. */
     boolean silent() {
-        return mOverdueInRow >= OVERDUE_TO_BE_SILENT;
+        return mOverdueInRow >= OVERDUE_TO_BE_SILENT || mNotSentInRow >= OVERDUE_TO_BE_SILENT;
     }
 }
--- a/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
@@ -258,6 +258,9 @@
             // A call without an answer was replaced already, when it was overdue.
             target.calls().pause(mTerm.nowMs() + RETRY_MS);
         }
+        if (event.cause() == OrderResult.NOT_SENT) {
+            target.calls().notSent();
+        }
         if (event.cause() == OrderResult.FENCED) {
             mTerm.act(new CellAction.Deposed());
         } else if (event.cause() == OrderResult.OTHER_INCARNATION) {
--- a/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
+++ b/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
@@ -80,6 +80,11 @@
         on(ms, new CellEvent.LeaseFailed(target, lastCall(target), cause));
     }
 
+    /** The target takes no connection: the last lease call to it couldn't be sent. */
+    void refused(long ms, String target) {
+        on(ms, new CellEvent.LeaseFailed(target, lastCall(target), OrderResult.NOT_SENT));
+    }
+
     private long lastCall(String target) {
         return actions(CellAction.ExtendLease.class).stream()
                 .filter(call -> call.target().id().equals(target))
