The cause of a loss is looked for among few targets, and only those heard of

Targets that haven't reported in a term stand for no loss: three stale entries cleared every task that crashed its target. Names say what is noted and what is asked.

--- a/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
@@ -26,14 +26,18 @@
         if (target.info().draining()) {
             return;
         }
-        mAccount.lapsed(target.info(), lost(target), mTerm.nowMs());
+        mAccount.lapsed(target.info(), noteLoss(target), mTerm.nowMs());
     }
 
-    /** What is lost with the target, of which nothing is heard any more. */
-    List<LostRun> lost(Target target) {
-        mLosses.lost(target);
+    /**
+     * Notes that a target was found lost, before its runs are released.
+     *
+     * @return what was at work there, or may have been
+     */
+    List<LostRun> noteLoss(Target target) {
+        mLosses.note(target);
         return LostRun.of(target.runs().values()).stream()
-                .map(run -> mLosses.alone(run) ? run : run.coincident())
+                .map(run -> mLosses.haveCommonCause(run) ? run.coincident() : run)
                 .toList();
     }
 
--- a/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
@@ -270,7 +270,7 @@
 
     /** Another incarnation answers at the target's address: all that ran there has ended. */
     void replaced(Target target) {
-        List<LostRun> runs = mCrashes.lost(target);
+        List<LostRun> runs = mCrashes.noteLoss(target);
         mRuns.allOver(target, "another incarnation");
         mTerm.targets().remove(target.id());
         mReplaced.put(target.id(), mTerm.nowMs());
--- a/core/src/main/java/org/boragegap/core/cell/LossWatch.java
+++ b/core/src/main/java/org/boragegap/core/cell/LossWatch.java
@@ -6,11 +6,10 @@
 import java.util.Set;
 
 /**
- * Tells whether a target was lost alone, or with others in the same moment.
+ * Tells whether a target was lost by itself, or together with others.
  *
- * <p>Guards against tasks that are blamed for the loss of a rack or the restart of many targets:
- * each was given a target for itself, and callers were refused while targets were all but free; and
- * a job that met two such losses was failed.
+ * <p>Guards against tasks that are suspected after the loss of a rack or the restart of many
+ * targets: each of them would be given a target for itself.
  */
 final class LossWatch {
     /** So many other targets lost in the same moment have a common cause outside the task. */
@@ -28,41 +27,48 @@
         mTerm = term;
     }
 
-    /** The target was found lost; one that has lapsed before was found so then. */
-    void lost(Target target) {
+    /** Notes the loss of a target; one whose leases were found to be over was noted then. */
+    void note(Target target) {
         if (target.lost()) {
             return;
         }
         long beforeMs = mTerm.nowMs() - SAME_MOMENT_MS;
         mLosses.values().removeIf(loss -> loss.atMs() < beforeMs);
-        mLosses.put(target.id(), new Loss(jobs(target), mTerm.nowMs()));
-    }
-
-    private static Set<String> jobs(Target target) {
         Set<String> jobs = new HashSet<>();
         target.runs().keySet().forEach(task -> jobs.add(task.job()));
-        return jobs;
+        mLosses.put(target.id(), new Loss(jobs, mTerm.nowMs()));
     }
 
     /**
-     * True when not enough other targets were lost in the same moment, or are silent, to tell of
-     * another cause. Targets with tasks of the run's own job don't count: it may crash them all.
+     * True when enough other targets were lost in the same moment, or are silent, to tell of a
+     * cause outside the run's task. Those with tasks of its own job don't count: the job may crash
+     * them all.
      */
-    boolean alone(LostRun run) {
+    boolean haveCommonCause(LostRun run) {
         String job = run.task().job();
-        Set<String> others = new HashSet<>();
-        mLosses.forEach(
-                (target, loss) -> {
-                    if (!loss.jobs().contains(job)) {
-                        others.add(target);
-                    }
-                });
+        int others = 0;
+        for (Map.Entry<String, Loss> loss : mLosses.entrySet()) {
+            boolean other = !loss.getKey().equals(run.target());
+            others += other && !loss.getValue().jobs().contains(job) ? 1 : 0;
+        }
         for (Target target : mTerm.targets().values()) {
-            if (target.calls().silent() && !target.lost() && !jobs(target).contains(job)) {
-                others.add(target.id());
+            if (others >= COMMON_CAUSE_TARGETS) {
+                break;
             }
+            others +=
+                    fellSilent(target) && !target.id().equals(run.target()) && !runs(target, job)
+                            ? 1
+                            : 0;
         }
-        others.remove(run.target());
-        return others.size() < COMMON_CAUSE_TARGETS;
+        return others >= COMMON_CAUSE_TARGETS;
+    }
+
+    /** True for a target that was heard of in this term, and whose leases are not over yet. */
+    private static boolean fellSilent(Target target) {
+        return target.reported() && !target.lost() && target.calls().silent();
+    }
+
+    private static boolean runs(Target target, String job) {
+        return target.runs().keySet().stream().anyMatch(task -> task.job().equals(job));
     }
 }
--- a/core/src/main/java/org/boragegap/core/cell/LostRun.java
+++ b/core/src/main/java/org/boragegap/core/cell/LostRun.java
@@ -15,7 +15,7 @@
  */
 record LostRun(TaskName task, int number, String target, CrashEvidence evidence, long orderedMs) {
 
-    /** The same, when more was lost in that moment than the task can have been the cause of. */
+    /** The same, where the loss of the target has a cause outside the task. */
     LostRun coincident() {
         return new LostRun(task, number, target, CrashEvidence.COINCIDENT, orderedMs);
     }
