Lapses count against further starts, and word of crashes against waiting tasks

Change: targets that have lapsed under a task and were not heard of since count with its crashes against the limit of four, as grounds to start it no more, never as a failure. Word of a crash is acted upon at once if the task waits.

lapsesWithoutASuccessorCountAgainstFurtherStarts (expected to be at most: 4) and aWaitingTaskIsGivenUpWhenItsCrashesAreTold failed before. The crash line says 'not suspected' where the task isn't.

--- a/core/src/main/java/org/boragegap/core/cell/CellController.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -35,6 +35,7 @@
     private long mNextCall = 1;
     private Term mTerm;
     private LeaseKeeper mLeases;
+    private CrashWatch mCrashWatch;
     private RunLedger mRuns;
     private JobBook mJobs;
     private Placement mPlacement;
@@ -119,13 +120,13 @@
         mTerm = new Term(fence, clock.monotonicMs(), mEvacuations, mCrashes, mStarted);
         mTerm.at(clock.monotonicMs(), actions);
         mTerm.actsUntil(mActsUntilMs);
-        CrashWatch crashes = new CrashWatch(mTerm);
-        mRuns = new RunLedger(mTerm, mTimes, crashes);
-        mLeases = new LeaseKeeper(mTerm, mRuns, crashes, () -> mNextCall++);
+        mCrashWatch = new CrashWatch(mTerm);
+        mRuns = new RunLedger(mTerm, mTimes, mCrashWatch);
+        mLeases = new LeaseKeeper(mTerm, mRuns, mCrashWatch, () -> mNextCall++);
         mPlacement = new Placement(mTerm, mSettings);
-        mJobs = new JobBook(mTerm, mPlacement, new Admission(mTerm, mTimes), mRuns, crashes);
+        mJobs = new JobBook(mTerm, mPlacement, new Admission(mTerm, mTimes), mRuns, mCrashWatch);
         mRuns.connect(mJobs, mLeases);
-        crashes.connect(mJobs);
+        mCrashWatch.connect(mJobs);
         mSettled = false;
         mPredecessorsKnown = false;
         mPredecessorsOver = false;
@@ -163,6 +164,8 @@
             mJobs.offered(offered);
         } else if (event instanceof CellEvent.Withdrawn withdrawn) {
             mJobs.withdrawn(withdrawn);
+        } else if (event instanceof CellEvent.CrashTold told) {
+            mCrashWatch.told(told.task());
         } else if (event instanceof CellEvent.LeaseExtended extended) {
             mLeases.extended(extended);
         } else if (event instanceof CellEvent.LeaseFailed failed) {
--- a/core/src/main/java/org/boragegap/core/cell/CrashAccount.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashAccount.java
@@ -5,9 +5,11 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Knows, by task, the targets that have crashed while it was at work there, or may have been.
@@ -25,8 +27,9 @@
     private static final int CONFIRMED_TO_GIVE_UP = 2;
 
     /**
-     * Crashes of any evidence after which it is started no more either. A task may crash its target
-     * before the order to start it is answered, so that none is ever confirmed.
+     * Crashes of any evidence after which it is started no more either, with the targets that have
+     * lapsed under it and were not heard of since. A task may crash its target before the order to
+     * start it is answered, and the successor may be seen late, or in another cell.
      */
     private static final int POSSIBLE_TO_GIVE_UP = 4;
 
@@ -142,26 +145,38 @@
         return !mCrashes.isEmpty() && tasks.stream().anyMatch(this::suspects);
     }
 
+    /** Targets that are silent since their leases are over, which the task ran on. */
+    private Set<String> lapsedUnder(TaskName task) {
+        Set<String> targets = new LinkedHashSet<>();
+        mLapsed.forEach(
+                (target, lapsed) -> {
+                    if (lapsed.runs().stream().anyMatch(run -> run.task().equals(task))) {
+                        targets.add(target);
+                    }
+                });
+        return targets;
+    }
+
     /**
      * The verdict on the task's job when so many targets have crashed under it that it is started
      * no more; empty while it may be started. It is never told as failed: what a target knew of the
      * end of a run is lost with the target.
      */
     Optional<Verdict> verdictOn(TaskName task, long nowMs) {
-        if (mCrashes.isEmpty()) {
+        if (mCrashes.isEmpty() && mLapsed.isEmpty()) {
             return Optional.empty();
         }
         forget(nowMs);
         Crashes crashes = crashes(task);
+        Set<String> targets = new LinkedHashSet<>(crashes.byTarget().keySet());
+        targets.addAll(lapsedUnder(task));
         boolean givenUp =
                 crashes.confirmed() >= CONFIRMED_TO_GIVE_UP
-                        || crashes.byTarget().size() >= POSSIBLE_TO_GIVE_UP;
+                        || targets.size() >= POSSIBLE_TO_GIVE_UP;
         if (!givenUp) {
             return Optional.empty();
         }
-        String targets = String.join(",", crashes.byTarget().keySet());
-        return Optional.of(
-                new Verdict.InDoubt(
-                        "targets have crashed under task " + task.index() + ": " + targets));
+        String reason = "targets were lost under task " + task.index() + ": ";
+        return Optional.of(new Verdict.InDoubt(reason + String.join(",", targets)));
     }
 }
--- a/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashWatch.java
@@ -71,10 +71,15 @@
             mAccount.crashed(task, run.target(), run.evidence(), mTerm.nowMs());
             mTerm.act(new CellAction.TellCrash(task, run.target(), run.evidence()));
             log(run, runs.size() - 1, found, verdictOn(task).isPresent());
-            CellJob job = mTerm.jobs().get(task.job());
-            if (job != null) {
-                job.task(task).ifPresent(this::giveUp);
-            }
+            told(task);
+        }
+    }
+
+    /** More is known of crashes under the task. */
+    void told(TaskName task) {
+        CellJob job = mTerm.jobs().get(task.job());
+        if (job != null) {
+            job.task(task).ifPresent(this::giveUp);
         }
     }
 
@@ -92,7 +97,8 @@
                         + beside
                         + " found="
                         + found;
-        String outcome = givenUp ? "given up" : "runs alone from now on";
+        String apart = mAccount.suspects(run.task()) ? "runs apart from now on" : "not suspected";
+        String outcome = givenUp ? "given up" : apart;
         mTerm.log(Decision.run("crash", run.task(), run.target(), inputs, outcome));
     }
 
--- a/core/src/test/java/org/boragegap/core/cell/CrashingTaskTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CrashingTaskTest.java
@@ -131,6 +131,51 @@
         assertThat(mCell.verdicts().get(0)).isInstanceOf(Verdict.InDoubt.class);
     }
 
+    /**
+     * Guards against a start of a task that another VM has found to crash its targets meanwhile.
+     */
+    @Test
+    void aWaitingTaskIsGivenUpWhenItsCrashesAreTold() {
+        mCell.offer(10, OTHER_JOB, 4);
+        mCell.offer(11, JOB, 1);
+        assertThat(mCell.starts()).hasSize(4);
+        told("c1", CrashEvidence.CONFIRMED);
+        told("c2", CrashEvidence.CONFIRMED);
+        assertThat(mCell.verdicts()).hasSize(1);
+        assertThat(mCell.verdicts().get(0)).isInstanceOf(Verdict.InDoubt.class);
+    }
+
+    /** Guards against a task started for ever since no successor of its targets is seen. */
+    @Test
+    void lapsesWithoutASuccessorCountAgainstFurtherStarts() {
+        TargetInfo[] targets = new TargetInfo[8];
+        for (int i = 0; i < targets.length; i++) {
+            targets[i] = ScriptedCell.target("u" + i, "y:" + i, "a", 1_000);
+        }
+        mCell.listed(6, targets);
+        for (TargetInfo target : targets) {
+            mCell.report(7, target.id(), List.of(), List.of());
+        }
+        mCell.on(300, new CellEvent.Ticked());
+        mCell.offer(310, JOB, 1);
+        int taken = 0;
+        for (long ms = 320; ms <= 40_000; ms += 10) {
+            mCell.on(ms, new CellEvent.Ticked());
+            for (; taken < mCell.starts().size(); taken++) {
+                mCell.take(ms, mCell.starts().get(taken));
+            }
+            if (ms % 100 == 0) {
+                for (TargetInfo target : targets) {
+                    if (!mCell.startedOn().contains(target.id())) {
+                        mCell.report(ms, target.id(), List.of(), List.of());
+                    }
+                }
+            }
+        }
+        assertThat(mCell.starts().size()).isAtMost(4);
+        assertThat(mCell.verdicts()).hasSize(1);
+    }
+
     /** Guards against a lost answer to a start being taken for a confirmed run. */
     @Test
     void aRunThatWasNeverConfirmedMayHaveCrashedItsTarget() {
