A job isn't refused as impossible while the targets that could hold it restart

Callers were refused with 'no target can hold it' when all targets that fit had been found replaced: another incarnation had answered at each address, and the list didn't name it yet. Waiting jobs were refused likewise by a stale list.

Change: for 2.5 s after a target was found replaced, or until the list names one at its address, the place counts as one that can hold what it could.

ReplacedTargetTest.AllAtOnce.aJobWaitsForTheirSuccessors failed before; aJobThatNobodyCanHoldIsRefusedSoon holds the other side.

--- a/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseKeeper.java
@@ -105,6 +105,7 @@
                 long openMs = mTerm.nowMs() + ANNOUNCE_MS;
                 Target target = new Target(info, openMs, earlierLeaseEndMs());
                 mTerm.targets().put(info.id(), target);
+                mTerm.targetAppeared(info);
                 mCrashes.appeared(info);
                 call(target);
             } else {
@@ -274,6 +275,7 @@
         mRuns.allOver(target, "another incarnation");
         mTerm.targets().remove(target.id());
         mReplaced.put(target.id(), mTerm.nowMs());
+        mTerm.expectSuccessor(target.info());
         mCrashes.replaced(target.info(), runs);
     }
 
--- a/core/src/main/java/org/boragegap/core/cell/Placement.java
+++ b/core/src/main/java/org/boragegap/core/cell/Placement.java
@@ -50,7 +50,7 @@
         if (!target.fits(step) || !mTerm.takesWork(target)) {
             return false;
         }
-        if (!serves(task.job().request(), step, target) || !keepsApart(task, target)) {
+        if (!serves(task.job().request(), step, target.info()) || !keepsApart(task, target)) {
             return false;
         }
         return step.mostPerTarget() == 0
@@ -67,8 +67,8 @@
         return apart && !crashes.suspectsAny(target.runs().keySet());
     }
 
-    private static boolean serves(JobRequest request, StepRequest step, Target target) {
-        return target.info().service().equals(request.service()) && target.couldHold(step);
+    private static boolean serves(JobRequest request, StepRequest step, TargetInfo info) {
+        return info.service().equals(request.service()) && info.couldHold(step);
     }
 
     private double speed(StepRequest step, Target target) {
@@ -85,12 +85,17 @@
 
     private boolean possible(JobRequest request, StepRequest step) {
         for (Target target : mTerm.targets().values()) {
-            boolean allowed = mTerm.evacuations().allow(target.info());
-            if (allowed && serves(request, step, target)) {
+            if (possible(request, step, target.info())) {
                 return true;
             }
         }
-        return false;
+        // A target that has just restarted is expected to be of the kind that it was.
+        return mTerm.predecessorsOfExpected().stream()
+                .anyMatch(info -> possible(request, step, info));
+    }
+
+    private boolean possible(JobRequest request, StepRequest step, TargetInfo info) {
+        return mTerm.evacuations().allow(info) && serves(request, step, info);
     }
 
     /** True when a target is free for a task of this job's first step. */
--- a/core/src/main/java/org/boragegap/core/cell/Target.java
+++ b/core/src/main/java/org/boragegap/core/cell/Target.java
@@ -140,14 +140,6 @@
                 && step.accelerators() <= mInfo.accelerators() - mUsedAccelerators;
     }
 
-    /** True when the step's tasks could run here if nothing else did. */
-    boolean couldHold(StepRequest step) {
-        return step.cpuMillis() <= mInfo.cpuMillis()
-                && step.memoryMb() <= mInfo.memoryMb()
-                && step.accelerators() <= mInfo.accelerators()
-                && step.requiredLabel().map(mInfo.labels()::contains).orElse(true);
-    }
-
     long runsOf(String job, int step) {
         return mRuns.keySet().stream()
                 .filter(name -> name.job().equals(job) && name.step() == step)
--- a/core/src/main/java/org/boragegap/core/cell/TargetInfo.java
+++ b/core/src/main/java/org/boragegap/core/cell/TargetInfo.java
@@ -26,4 +26,13 @@
         int accelerators,
         Set<String> labels,
         boolean guarded,
-        boolean draining) {}
+        boolean draining) {
+
+    /** True when the step's tasks could run there if nothing else did. */
+    boolean couldHold(StepRequest step) {
+        return step.cpuMillis() <= cpuMillis
+                && step.memoryMb() <= memoryMb
+                && step.accelerators() <= accelerators
+                && step.requiredLabel().map(labels::contains).orElse(true);
+    }
+}
--- a/core/src/main/java/org/boragegap/core/cell/Term.java
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -16,6 +16,11 @@
      */
     private static final long LOSSES_COUNT_MS = 2_000;
 
+    /** How long the successor of a replaced target may stay out of the platform's list, in ms. */
+    private static final long SUCCESSOR_UNLISTED_MS = 2_500;
+
+    private record Expected(TargetInfo predecessor, long sinceMs) {}
+
     private final long mFence;
     private final long mSinceMs;
     private final Evacuations mEvacuations;
@@ -28,6 +33,7 @@
                     Comparator.comparing(CellJob::late)
                             .thenComparingLong(CellJob::latestStartMs)
                             .thenComparing(CellJob::id));
+    private final Map<String, Expected> mExpected = new HashMap<>();
     private boolean mTargetsListed;
     private boolean mSawRuns;
     private long mAnswerLostMs = Long.MIN_VALUE / 2;
@@ -97,6 +103,22 @@
         return mTargetsListed && mEvacuations.known();
     }
 
+    /** Another incarnation has answered at the target's address; the list will name it. */
+    void expectSuccessor(TargetInfo gone) {
+        mExpected.put(gone.address(), new Expected(gone, mNowMs));
+    }
+
+    /** The list names a new target. */
+    void targetAppeared(TargetInfo info) {
+        mExpected.remove(info.address());
+    }
+
+    /** Targets whose successors have answered and are not listed yet, so not known otherwise. */
+    List<TargetInfo> predecessorsOfExpected() {
+        mExpected.values().removeIf(place -> mNowMs - place.sinceMs() > SUCCESSOR_UNLISTED_MS);
+        return mExpected.values().stream().map(Expected::predecessor).toList();
+    }
+
     /** Which domains operators want emptied. */
     Evacuations evacuations() {
         return mEvacuations;
--- a/core/src/test/java/org/boragegap/core/cell/ReplacedTargetTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/ReplacedTargetTest.java
@@ -78,6 +78,33 @@
         }
     }
 
+    @Nested
+    class AllAtOnce {
+        /** Guards against a refusal as impossible while all targets that could hold it restart. */
+        @Test
+        void aJobWaitsForTheirSuccessors() {
+            mCell.reborn(100, FIRST.id());
+            mCell.reborn(100, SECOND.id());
+            mCell.offer(110, JOB, 1);
+            assertThat(mCell.verdicts()).isEmpty();
+            TargetInfo reborn = ScriptedCell.target("t9", FIRST.address(), "a", 2_000);
+            mCell.listed(500, reborn);
+            mCell.report(510, reborn.id(), List.of(), List.of());
+            mCell.ticks(520, 800);
+            assertThat(mCell.startedOn()).containsExactly("t9");
+        }
+
+        /** Guards against a job that waits for targets which don't come back. */
+        @Test
+        void aJobThatNobodyCanHoldIsRefusedSoon() {
+            mCell.reborn(100, FIRST.id());
+            mCell.reborn(100, SECOND.id());
+            mCell.ticks(110, 2_700);
+            mCell.offer(2_710, JOB, 1);
+            assertThat(mCell.verdicts().get(0)).isInstanceOf(Verdict.Declined.class);
+        }
+    }
+
     @Nested
     class Successor {
         private static final long LAPSED_MS = 7_000;
