--- a/core/src/main/java/org/boragegap/core/cell/CrashEvidence.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashEvidence.java
@@ -13,7 +13,7 @@
 
     /**
      * What a run that is lost with its target says; empty while the answer to its order is under
-     * way, which tells by itself whether the order was taken.
+     * way: it may never have been taken.
      */
     static Optional<CrashEvidence> of(Run run) {
         return switch (run.state()) {
