Log lines for proposed and installed views; limits name the time to be unlisted

When two VMs of a failure domain started the same submission, nothing that they write said why: a change of view, and on which evidence its author took the other members for dead, left no line.

A VM now writes a decision line for each view that it proposes (the reason, and for each other member whether it has departed, is unlisted, and how long it has been silent) and for each view that it installs (from the log or from which peer). DecisionLog moves to the package that both paths use. What is known of the members' health is a class of its own, MemberHealth; no decision changes. The time after which a VM counts as unlisted is one of ClaimLimits, so that tests can set it.

--- a/core/src/main/java/org/boragegap/core/claim/ClaimAction.java
+++ b/core/src/main/java/org/boragegap/core/claim/ClaimAction.java
@@ -25,4 +25,13 @@
      * @param outcome the outcome
      */
     record Resolve(ClaimKey key, ClaimOutcome outcome) implements ClaimAction {}
+
+    /**
+     * Writes one log line about a decision on the view.
+     *
+     * @param what kind of decision, a short constant
+     * @param inputs the inputs of the decision and their ages
+     * @param outcome the result of the decision
+     */
+    record Log(String what, String inputs, String outcome) implements ClaimAction {}
 }
--- a/core/src/main/java/org/boragegap/core/claim/ClaimLimits.java
+++ b/core/src/main/java/org/boragegap/core/claim/ClaimLimits.java
@@ -9,6 +9,8 @@
  * @param resendMs interval at which an unanswered message is sent again
  * @param suspectMs silence after which a member is suspected
  * @param logRetentionMs how long the log keeps a record
+ * @param unlistedMs how long a VM is missing from the platform's list before it may be presumed
+ *     dead
  */
 public record ClaimLimits(
         long idWindowMs,
@@ -16,11 +18,12 @@
         long claimTimeoutMs,
         long resendMs,
         long suspectMs,
-        long logRetentionMs) {
+        long logRetentionMs,
+        long unlistedMs) {
 
     /** Default limits. */
     public static ClaimLimits defaults() {
-        return new ClaimLimits(300_000, 1_000, 4_000, 200, 1_000, 3_600_000);
+        return new ClaimLimits(300_000, 1_000, 4_000, 200, 1_000, 3_600_000, 60_000);
     }
 
     /** How long a claim is kept: the id window plus a margin for clock skew at both of its ends. */
--- a/core/src/main/java/org/boragegap/core/claim/ViewManager.java
+++ b/core/src/main/java/org/boragegap/core/claim/ViewManager.java
@@ -29,10 +29,8 @@
     private final ClaimLimits mLimits;
     private final LongSupplier mUids;
     private final ViewLog mLog;
-    private final Map<Member, Long> mLastContactMs = new HashMap<>();
+    private final MemberHealth mHealth;
     private final Map<Member, Long> mJoinRequestMs = new HashMap<>();
-    private final Set<Member> mDeparted = new HashSet<>();
-    private final Set<Member> mUnlisted = new HashSet<>();
     private final Set<Member> mPeersWithAllClaims = new HashSet<>();
     private boolean mHasAllClaims;
     private final Map<Member, Long> mPeerSentMs = new HashMap<>();
@@ -44,7 +42,6 @@
     private long mLastProposalMs = Long.MIN_VALUE / 2;
     private long mLastRestatementMs = Long.MIN_VALUE / 2;
     private long mLastHeartbeatMs = Long.MIN_VALUE / 2;
-    private long mLastTickMs = Long.MIN_VALUE / 2;
 
     ViewManager(Member self, String domain, ClaimLimits limits, LongSupplier uids) {
         mSelf = self;
@@ -52,6 +49,7 @@
         mLimits = limits;
         mUids = uids;
         mLog = new ViewLog(limits.logRetentionMs());
+        mHealth = new MemberHealth(limits.suspectMs());
     }
 
     Optional<DomainView> currentView() {
@@ -92,7 +90,7 @@
         if (currentView().isEmpty() || currentView().equals(before)) {
             return false;
         }
-        onViewChanged(clock, out);
+        onViewChanged("log", clock, out);
         return true;
     }
 
@@ -117,7 +115,7 @@
         }
         updateLastStated(message);
         if (changed) {
-            onViewChanged(clock, out);
+            onViewChanged("peer " + from.address(), clock, out);
         }
         boolean sameView = message.view().uid() == currentView().map(DomainView::uid).orElse(0L);
         if (sameView && message.complete()) {
@@ -153,20 +151,16 @@
                         view, mHasAllClaims, statedAgeMs, clock.monotonicMs(), echoMs));
     }
 
-    private void onViewChanged(ClockReading clock, List<ClaimAction> out) {
+    private void onViewChanged(String source, ClockReading clock, List<ClaimAction> out) {
         DomainView view = currentView().orElseThrow();
+        out.add(new ClaimAction.Log("view", "source=" + source, describe(view)));
         boolean onlyEstablishedMember =
                 view.establishedMembers().equals(List.of(mSelf)) && !mHasAllClaims;
         boolean established = view.establishedMembers().contains(mSelf);
         mHasAllClaims = established && (mHasAllClaims || onlyEstablishedMember);
         mPeersWithAllClaims.clear();
         mJoinRequestMs.keySet().removeAll(view.members());
-        mDeparted.retainAll(view.members());
-        mUnlisted.retainAll(view.members());
-        for (Member member : view.members()) {
-            mLastContactMs.put(member, clock.monotonicMs());
-        }
-        mLastContactMs.keySet().retainAll(view.members());
+        mHealth.onViewChanged(view, clock.monotonicMs());
         mPeerSentMs.keySet().retainAll(view.members());
         if (inView() && view.members().get(0).equals(mSelf) && mLog.currentFromLog()) {
             restateView(clock, out);
@@ -174,13 +168,28 @@
         sendHeartbeats(clock, out);
     }
 
+    private static String describe(DomainView view) {
+        return "number="
+                + view.number()
+                + " uid="
+                + view.uid()
+                + " parent="
+                + view.parentUid()
+                + " members="
+                + view.members()
+                + " newcomers="
+                + view.newcomers()
+                + " coverageStartMs="
+                + view.coverageStartMs();
+    }
+
     void recordContact(Member from, ClockReading clock) {
-        mLastContactMs.computeIfPresent(from, (member, before) -> clock.monotonicMs());
+        mHealth.recordContact(from, clock.monotonicMs());
         currentView()
                 .flatMap(view -> view.memberAt(from.address()))
                 .filter(member -> member.replacedBy(from))
                 .filter(member -> member.incarnation() < from.incarnation())
-                .ifPresent(mDeparted::add);
+                .ifPresent(mHealth::recordDeparture);
     }
 
     /**
@@ -188,18 +197,19 @@
      * while. The list may be wrong, so it counts only for members that are also silent.
      */
     void onVmsUnlisted(Set<String> addresses) {
-        mUnlisted.clear();
+        Set<Member> unlisted = new HashSet<>();
         for (Member member : currentView().map(DomainView::members).orElse(List.of())) {
             if (addresses.contains(member.address()) && !member.equals(mSelf)) {
-                mUnlisted.add(member);
+                unlisted.add(member);
             }
         }
+        mHealth.setUnlisted(unlisted);
     }
 
     /** A member that leaves has finished its work and makes no more claims. */
     void onLeave(Member from) {
         if (currentView().isPresent() && currentView().get().contains(from)) {
-            mDeparted.add(from);
+            mHealth.recordDeparture(from);
         }
     }
 
@@ -216,7 +226,7 @@
     }
 
     void onTick(ClockReading clock, List<ClaimAction> out) {
-        resetContactsAfterPause(clock);
+        mHealth.onTick(clock.monotonicMs());
         if (mAtLogEnd && currentView().isEmpty()) {
             mLog.forgetBefore(clock.wallMs() - mLimits.logRetentionMs() - mLimits.clockSkewMs());
             bootstrap(clock, out);
@@ -230,17 +240,6 @@
         }
     }
 
-    /**
-     * Resets the times of last contact after a pause of this process, during which other members
-     * only seemed to be silent.
-     */
-    private void resetContactsAfterPause(ClockReading clock) {
-        if (clock.monotonicMs() - mLastTickMs > mLimits.suspectMs() / 2) {
-            mLastContactMs.replaceAll((member, lastContactMs) -> clock.monotonicMs());
-        }
-        mLastTickMs = clock.monotonicMs();
-    }
-
     private void bootstrap(ClockReading clock, List<ClaimAction> out) {
         if (!mLog.empty()) {
             return;
@@ -249,6 +248,7 @@
         long coverageStartMs = firstEver ? DomainView.COVERS_ALL : coverageFromNow(clock);
         List<Member> members = List.of(mSelf);
         propose(
+                "reason=first",
                 new DomainView(
                         clock.wallMs(),
                         mUids.getAsLong(),
@@ -273,24 +273,23 @@
         DomainView view = currentView().orElseThrow();
         view.memberAt(mSelf.address())
                 .filter(member -> member.incarnation() < mSelf.incarnation())
-                .ifPresent(mDeparted::add);
+                .ifPresent(mHealth::recordDeparture);
         List<Member> others =
                 view.members().stream().filter(member -> !member.equals(mSelf)).toList();
-        if (mAtLogEnd && others.stream().allMatch(member -> presumedDead(member, clock))) {
+        if (mAtLogEnd
+                && others.stream()
+                        .allMatch(member -> mHealth.presumedDead(member, clock.monotonicMs()))) {
             takeOver(view, clock, out);
         }
     }
 
-    private boolean presumedDead(Member member, ClockReading clock) {
-        return mDeparted.contains(member) || mUnlisted.contains(member) && silent(member, clock);
-    }
-
     /**
      * Proposes a view of this member alone. The other members are presumed dead, so only the
      * knowledge of their claims is lost, which the coverage start accounts for.
      */
     private void takeOver(DomainView previous, ClockReading clock, List<ClaimAction> out) {
         propose(
+                "reason=takeover",
                 new DomainView(
                         previous.number() + 1,
                         mUids.getAsLong(),
@@ -323,7 +322,7 @@
     private long lastLeaderContactMs(DomainView view, ClockReading clock) {
         return unsuspectedMembers(view, clock).get(0).equals(mSelf)
                 ? clock.monotonicMs()
-                : mLastContactMs.getOrDefault(
+                : mHealth.lastContactMs(
                         unsuspectedMembers(view, clock).get(0), clock.monotonicMs());
     }
 
@@ -346,13 +345,7 @@
         if (member.equals(mSelf)) {
             return false;
         }
-        return mDeparted.contains(member) || silent(member, clock);
-    }
-
-    private boolean silent(Member member, ClockReading clock) {
-        long silentMs =
-                clock.monotonicMs() - mLastContactMs.getOrDefault(member, clock.monotonicMs());
-        return silentMs > mLimits.suspectMs();
+        return mHealth.departed(member) || mHealth.silent(member, clock.monotonicMs());
     }
 
     private Set<Member> nextMembers(DomainView view, ClockReading clock) {
@@ -388,6 +381,7 @@
         members.remove(mSelf);
         members.add(0, mSelf);
         propose(
+                "reason=members",
                 new DomainView(
                         view.number() + 1,
                         mUids.getAsLong(),
@@ -403,15 +397,28 @@
      * Proposes a view, at most once per interval. A repeated proposal replaces one whose append may
      * have been lost; if both are appended, the log's order decides between them.
      */
-    private void propose(DomainView next, ClockReading clock, List<ClaimAction> out) {
+    private void propose(
+            String reason, DomainView next, ClockReading clock, List<ClaimAction> out) {
         long intervalMs = PROPOSAL_INTERVAL_FACTOR * mLimits.resendMs();
         if (clock.monotonicMs() - mLastProposalMs < intervalMs) {
             return;
         }
         mLastProposalMs = clock.monotonicMs();
+        out.add(new ClaimAction.Log("propose-view", reason + evidence(clock), describe(next)));
         out.add(new ClaimAction.Append(ViewRecord.proposal(mDomain, next)));
     }
 
+    /** What is known of the current view's other members, for the log. */
+    private String evidence(ClockReading clock) {
+        List<String> evidence = new ArrayList<>();
+        for (Member member : currentView().map(DomainView::members).orElse(List.of())) {
+            if (!member.equals(mSelf)) {
+                evidence.add(mHealth.describe(member, clock.monotonicMs()));
+            }
+        }
+        return " members=" + evidence;
+    }
+
     private void restateView(ClockReading clock, List<ClaimAction> out) {
         mLastRestatementMs = clock.monotonicMs();
         DomainView view = currentView().orElseThrow();
--- a/core/src/main/java/org/boragegap/core/dispatch/Action.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/Action.java
@@ -100,6 +100,15 @@
      */
     record AppendView(ViewRecord record) implements Action {}
 
+    /**
+     * Writes one log line about a decision.
+     *
+     * @param what kind of decision, a short constant
+     * @param inputs the inputs of the decision and their ages
+     * @param outcome the result of the decision
+     */
+    record Log(String what, String inputs, String outcome) implements Action {}
+
     /**
      * Appends a statement of the active bundle to the platform's log, so that it outlives the log's
      * retention.
--- a/core/src/main/java/org/boragegap/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/Dispatcher.java
@@ -28,10 +28,9 @@
  * and clock readings come in, actions go out.
  */
 public final class Dispatcher {
-    private static final long VM_UNLISTED_AFTER_MS = 60_000;
-
     private final Member mSelf;
     private final DispatchSettings mSettings;
+    private final ClaimLimits mLimits;
     private final Counters mCounters = new Counters();
     private final ClaimProtocol mClaims;
     private final List<ClaimAction> mClaimActions = new ArrayList<>();
@@ -50,6 +49,7 @@
             Member self, DispatchSettings settings, ClaimLimits limits, RandomGenerator random) {
         mSelf = self;
         mSettings = settings;
+        mLimits = limits;
         mClaims =
                 ClaimProtocol.create(self, settings.domain(), limits, () -> 1 | random.nextLong());
         mBundles = new BundleDistributor(settings.domains(), self.address(), limits, mCounters);
@@ -262,6 +262,8 @@
             out.add(new Action.AppendView(append.record()));
         } else if (action instanceof ClaimAction.Resolve resolve) {
             mRouter.onClaimResolved(resolve, clock, out);
+        } else if (action instanceof ClaimAction.Log log) {
+            out.add(new Action.Log(log.what(), log.inputs(), log.outcome()));
         }
     }
 
@@ -302,7 +304,7 @@
     }
 
     private void onTick(ClockReading clock, List<Action> out) {
-        mClaims.onVmsUnlisted(mEntryVms.unlistedFor(VM_UNLISTED_AFTER_MS, clock.monotonicMs()));
+        mClaims.onVmsUnlisted(mEntryVms.unlistedFor(mLimits.unlistedMs(), clock.monotonicMs()));
         mClaims.onTick(clock, mClaimActions);
         mJobs.onTick(clock, out);
         mRouter.onTick(clock, out);
--- a/core/src/test/java/org/boragegap/core/dispatch/History.java
+++ b/core/src/test/java/org/boragegap/core/dispatch/History.java
@@ -31,7 +31,7 @@
  * starts of every task.
  */
 final class History {
-    static final ClaimLimits LIMITS = new ClaimLimits(40_000, 300, 4_000, 250, 1_000, 30_000);
+    static final ClaimLimits LIMITS = new ClaimLimits(40_000, 300, 4_000, 250, 1_000, 30_000, 60_000);
     private static final long START_MS = 1_800_000_000_000L;
     private static final long TICK_MS = 250;
     private static final long LENGTH_MS = 60_000;
--- a/entry/src/main/java/org/boragegap/entry/ActionRunner.java
+++ b/entry/src/main/java/org/boragegap/entry/ActionRunner.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.boragegap.core.bundle.BundleRecord;
+import org.boragegap.core.cell.Decision;
 import org.boragegap.core.claim.Member;
 import org.boragegap.core.dispatch.Action;
 import org.boragegap.core.dispatch.CallerRef;
@@ -100,6 +101,8 @@
             mPeers.reply(sendBundle.link(), new PeerMessage.BundleIs(sendBundle.bundle()));
         } else if (action instanceof Action.AppendView append) {
             appendToLog(new LogEntry.View(append.record()));
+        } else if (action instanceof Action.Log log) {
+            DecisionLog.write(Decision.self(log.what(), log.inputs(), log.outcome()));
         } else if (action instanceof Action.RestateBundle restate) {
             appendToLog(
                     new LogEntry.Configuration(
--- a/entry/src/main/java/org/boragegap/entry/cell/DecisionLog.java
+++ b/entry/src/main/java/org/boragegap/entry/DecisionLog.java
@@ -1,4 +1,4 @@
-package org.boragegap.entry.cell;
+package org.boragegap.entry;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -6,12 +6,13 @@
 import org.boragegap.core.cell.Decision;
 
 /** Writes decisions as log lines with fields. */
-final class DecisionLog {
+public final class DecisionLog {
     private static final Logger sLog = LogManager.getLogger("decision");
 
     private DecisionLog() {}
 
-    static void write(Decision decision) {
+    /** Writes one line. */
+    public static void write(Decision decision) {
         if (!sLog.isInfoEnabled()) {
             return;
         }
--- a/entry/src/main/java/org/boragegap/entry/EntryService.java
+++ b/entry/src/main/java/org/boragegap/entry/EntryService.java
@@ -38,6 +38,7 @@
     private static final Logger sLog = LogManager.getLogger(EntryService.class);
     private static final int NETWORK_THREADS = 2;
     private static final long PROBE_INTERVAL_MS = 1_000;
+    private static final long VM_UNLISTED_MS = 60_000;
     private static final long FLUSH_TIMEOUT_MS = 1_000;
     private static final int OPERATOR_BODY_BYTES = 8 * 1024 * 1024;
 
@@ -159,7 +160,8 @@
                         settings.number(Setting.CLAIM_TIMEOUT_MS),
                         settings.number(Setting.RESEND_MS),
                         settings.number(Setting.SUSPECT_MS),
-                        settings.number(Setting.LOG_RETENTION_MS));
+                        settings.number(Setting.LOG_RETENTION_MS),
+                        VM_UNLISTED_MS);
         RandomGenerator random =
                 new java.util.SplittableRandom(mSelf.incarnation() ^ mSelf.address().hashCode());
         return Dispatcher.create(mSelf, dispatch, limits, random);
--- a/entry/src/main/java/org/boragegap/entry/cell/CellMemberDriver.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellMemberDriver.java
@@ -7,6 +7,7 @@
 import org.boragegap.core.cell.CellState;
 import org.boragegap.core.cell.MemberAction;
 import org.boragegap.core.cell.MemberEvent;
+import org.boragegap.entry.DecisionLog;
 
 /**
  * Passes events to the {@link CellMember} of one cell and executes the actions that it returns.
--- a/entry/src/main/java/org/boragegap/entry/cell/JobApi.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/JobApi.java
@@ -12,6 +12,7 @@
 import org.boragegap.core.cell.Decision;
 import org.boragegap.core.cell.EntryAction;
 import org.boragegap.core.cell.EntryEvent;
+import org.boragegap.entry.DecisionLog;
 import org.boragegap.http.IncomingRequest;
 import org.boragegap.platform.JobProtocol;
 import org.boragegap.platform.PlatformException;
