Histories draw lists that lack running VMs, and domains whose VMs are all replaced

So the fault doesn't depend on views of one member, nor on a paused process or a late append: the members of the earlier view go on granting ids that are made after the takeover.

--- a/core/src/test/java/org/boragegap/core/dispatch/HistoriesProperties.java
+++ b/core/src/test/java/org/boragegap/core/dispatch/HistoriesProperties.java
@@ -33,8 +33,31 @@
         }
     }
 
+    /**
+     * Guards against a submission being started by two VMs when the platform's list lacks running
+     * VMs that another one can't reach.
+     */
+    @Property(
+            tries = 100,
+            seed = "20261203",
+            shrinking = ShrinkingMode.OFF,
+            edgeCases = EdgeCasesMode.NONE)
+    void noHistoryWithAnUnreliableListViolatesAGuarantee(@ForAll long first) {
+        if (ONE_SEED != null) {
+            check(ONE_SEED, History.withUnreliableList(ONE_SEED));
+            return;
+        }
+        for (int i = 0; i < HISTORIES_PER_TRY; i++) {
+            check(first + i, History.withUnreliableList(first + i));
+        }
+    }
+
     private static void check(long seed) {
-        List<String> violations = new History(seed).run();
+        check(seed, new History(seed));
+    }
+
+    private static void check(long seed, History history) {
+        List<String> violations = history.run();
         assertWithMessage("run again: mvn -pl core test -Dboragegap.seed=%s", seed)
                 .that(violations)
                 .isEmpty();
--- a/core/src/test/java/org/boragegap/core/dispatch/History.java
+++ b/core/src/test/java/org/boragegap/core/dispatch/History.java
@@ -31,18 +31,23 @@
  * starts of every task.
  */
 final class History {
-    static final ClaimLimits LIMITS = new ClaimLimits(40_000, 300, 4_000, 250, 1_000, 30_000, 60_000);
+    static final ClaimLimits LIMITS =
+            new ClaimLimits(40_000, 300, 4_000, 250, 1_000, 30_000, 5_000);
     private static final long START_MS = 1_800_000_000_000L;
     private static final long TICK_MS = 250;
     private static final long LENGTH_MS = 60_000;
     private static final int JOBS = 12;
     private static final int TASKS = 2;
     private static final long DEADLINE_MS = 8_000;
+    private static final long LIST_READ_MS = 1_000;
+    private static final long LIST_LAG_MS = 2_000;
 
     private record Scheduled(long atMs, long sequence, Runnable action) {}
 
     private final SplittableRandom mRandom;
+    private final boolean mListUnreliable;
     private final int mDomains;
+    private final FakeVmList mList = new FakeVmList();
     private final FakeLog mLog = new FakeLog(LIMITS.logRetentionMs());
     private final PriorityQueue<Scheduled> mEvents =
             new PriorityQueue<>(
@@ -56,14 +61,21 @@
     private final Map<Long, FakeVm> mLinks = new HashMap<>();
     private final Map<FailureKind, Integer> mFailed = new HashMap<>();
     private final List<String> mViolations = new ArrayList<>();
+    private final List<String> mDecisions = new ArrayList<>();
     private long mNowMs = START_MS;
     private long mSequence;
     private long mNextCaller = 1;
     private long mNextLink = 1;
     private int mComplete;
 
+    /** Creates a history in which the list of VMs is always right. */
     History(long seed) {
+        this(seed, false);
+    }
+
+    private History(long seed, boolean listUnreliable) {
         mRandom = new SplittableRandom(seed);
+        mListUnreliable = listUnreliable;
         mDomains = 1 + mRandom.nextInt(3);
         int vmsEach = mDomains == 1 ? 2 + mRandom.nextInt(3) : 2;
         for (int domain = 0; domain < mDomains; domain++) {
@@ -75,6 +87,14 @@
         at(2_500, this::scheduleFailures);
     }
 
+    /**
+     * Creates a history in which, besides the usual failures, the list lacks running VMs for some
+     * of its readers, failure domains are isolated, and all VMs of one are replaced by others.
+     */
+    static History withUnreliableList(long seed) {
+        return new History(seed, true);
+    }
+
     /** Runs the history and returns the violations of the dispatchers' guarantees. */
     List<String> run() {
         long endMs = START_MS + LENGTH_MS;
@@ -86,6 +106,11 @@
         return mViolations;
     }
 
+    /** The decisions that the dispatchers logged. */
+    List<String> decisions() {
+        return mDecisions;
+    }
+
     int complete() {
         return mComplete;
     }
@@ -129,12 +154,25 @@
         mVms.put(address, vm);
         at(1, () -> tick(vm));
         at(1 + random(50), () -> readLog(vm));
-        at(2, () -> deliverVmList(vm));
+        at(2, () -> readVmList(vm));
+    }
+
+    private void readVmList(FakeVm vm) {
+        if (!vm.mAlive) {
+            return;
+        }
+        deliverVmList(vm);
+        if (mListUnreliable) {
+            at(LIST_READ_MS, () -> readVmList(vm));
+        }
     }
 
     private void deliverVmList(FakeVm vm) {
         List<ListedVm> vms = new ArrayList<>();
         for (FakeVm other : mVms.values()) {
+            if (!mList.lists(vm.mMember.address(), other.mMember.address())) {
+                continue;
+            }
             vms.add(listed(other.mMember.address(), other.mDomain, VmKind.ENTRY));
         }
         for (int domain = 0; domain < mDomains; domain++) {
@@ -214,6 +252,8 @@
             start(vm, start);
         } else if (action instanceof Action.Reply reply) {
             reply(vm, reply);
+        } else if (action instanceof Action.Log log) {
+            mDecisions.add(mNowMs - START_MS + " " + vm.mMember + " " + log);
         }
     }
 
@@ -390,16 +430,74 @@
     }
 
     private void injectFailure() {
-        switch (mRandom.nextInt(6)) {
+        int kind = mRandom.nextInt(mListUnreliable ? 10 : 6);
+        switch (kind) {
             case 0 -> replace(randomVm());
             case 1 -> pause(randomVm());
             case 2 -> cutPair(randomVm(), randomVm());
             case 3 -> cutLog(List.of(randomVm()), 2_000 + random(15_000));
             case 4 -> cutLog(new ArrayList<>(mVms.values()), 2_000 + random(25_000));
-            default -> cutLog(new ArrayList<>(mVms.values()), 40_000);
+            case 5 -> cutLog(new ArrayList<>(mVms.values()), 40_000);
+            case 6 -> omit(List.of(randomVm()), 6_000 + random(20_000));
+            case 7 -> omitAndCut(randomVm(), randomVm());
+            case 8 -> isolate(mRandom.nextInt(mDomains));
+            default -> replaceAll(mRandom.nextInt(mDomains));
+        }
+    }
+
+    /** Leaves VMs out of the lists of most other VMs for a while. */
+    private void omit(List<FakeVm> vms, long lengthMs) {
+        for (FakeVm vm : vms) {
+            for (FakeVm reader : mVms.values()) {
+                if (reader != vm && chance(80)) {
+                    String readerAddress = reader.mMember.address();
+                    String address = vm.mMember.address();
+                    mList.omit(readerAddress, address);
+                    at(lengthMs, () -> mList.restore(readerAddress, address));
+                }
+            }
         }
     }
 
+    private void omitAndCut(FakeVm vm, FakeVm other) {
+        omit(List.of(vm), 6_000 + random(20_000));
+        cutPair(vm, other);
+    }
+
+    private List<FakeVm> vmsOf(int domain) {
+        return mVms.values().stream()
+                .filter(vm -> vm.mDomain == domain && vm.mAlive)
+                .sorted(Comparator.comparing(vm -> vm.mMember.address()))
+                .toList();
+    }
+
+    /**
+     * Cuts the VMs of a failure domain off from the log and from all other VMs, and then leaves
+     * them out of the list, while another VM starts in that domain.
+     */
+    private void isolate(int domain) {
+        List<FakeVm> isolated = vmsOf(domain);
+        startVm("vm" + domain + "x" + mSequence + ":1", domain);
+        long lengthMs = 10_000 + random(25_000);
+        cutLog(isolated, lengthMs);
+        for (FakeVm vm : isolated) {
+            for (FakeVm other : mVms.values()) {
+                if (!isolated.contains(other)) {
+                    cutPairFor(vm, other, lengthMs);
+                }
+            }
+        }
+        at(LIST_LAG_MS, () -> omit(isolated, lengthMs));
+    }
+
+    /** Ends all VMs of a failure domain for good and starts others at other addresses. */
+    private void replaceAll(int domain) {
+        List<FakeVm> ended = vmsOf(domain);
+        startVm("vm" + domain + "y" + mSequence + ":1", domain);
+        ended.forEach(vm -> vm.mAlive = false);
+        at(LIST_LAG_MS, () -> omit(ended, LENGTH_MS));
+    }
+
     /** Kills the VM's process and starts a new one at the same address later. */
     private void replace(FakeVm vm) {
         vm.mAlive = false;
@@ -424,9 +522,13 @@
     }
 
     private void cutPair(FakeVm one, FakeVm other) {
+        cutPairFor(one, other, 1_000 + random(20_000));
+    }
+
+    private void cutPairFor(FakeVm one, FakeVm other, long lengthMs) {
         String pair = one.mMember.address() + other.mMember.address();
         mCutPairs.add(pair);
-        at(1_000 + random(20_000), () -> mCutPairs.remove(pair));
+        at(lengthMs, () -> mCutPairs.remove(pair));
     }
 
     private void cutLog(List<FakeVm> vms, long lengthMs) {
