A view whose members are presumed dead is fenced off before another one claims

What callers saw: one submission, sent to two VMs, was started by both. A VM of a failure domain took the view over when all of its members were missing from the platform's list for a minute and silent. A list that lacks running VMs, and a cut, look the same; the members went on granting, also ids made after the takeover, until their view expired (2,699 s by default). Coverage only shuts out older ids.

Views of two that hear each other are no safer than views of one.

A lease: a member that has neither read the log to its end nor been told so by a sibling for claims.lease_ms (900 s) claims and acknowledges nothing; it counts from when the read was sent, and a suspended monotonic clock ends it. A fence: a VM that only presumes the others dead proposes a view without established members, under which nobody claims, and after the lease plus a margin one that does. A member of the fenced view that is alive reads the fence and goes on with all its claims: a wrong list costs it a read and an append. Where death is proved (left, another incarnation) nothing changes. Fenced: callers are told at once, with a Retry-After; VMs stay ready for work without ids. Siblings' reads are asked for only when the own one is old, so nothing is sent in normal times.

A shorter lease ends claims in every domain in an outage of the log, a longer one in one domain after the loss of all its VMs; it is a setting for that reason. The histories' outages are long compared to their lease; with the default only outages beyond 15 minutes cost anything.

--- a/core/src/main/java/org/boragegap/core/claim/ClaimLimits.java
+++ b/core/src/main/java/org/boragegap/core/claim/ClaimLimits.java
@@ -9,6 +9,7 @@
  * @param resendMs interval at which an unanswered message is sent again
  * @param suspectMs silence after which a member is suspected
  * @param logRetentionMs how long the log keeps a record
+ * @param leaseMs how long a member that doesn't hear from the log goes on claiming
  * @param unlistedMs how long a VM is missing from the platform's list before it may be presumed
  *     dead
  */
@@ -19,11 +20,13 @@
         long resendMs,
         long suspectMs,
         long logRetentionMs,
+        long leaseMs,
         long unlistedMs) {
+    private static final long CLOCK_RATE_DIVISOR = 100;
 
     /** Default limits. */
     public static ClaimLimits defaults() {
-        return new ClaimLimits(300_000, 1_000, 4_000, 200, 1_000, 3_600_000, 60_000);
+        return new ClaimLimits(300_000, 1_000, 4_000, 200, 1_000, 3_600_000, 900_000, 60_000);
     }
 
     /** How long a claim is kept: the id window plus a margin for clock skew at both of its ends. */
@@ -36,6 +39,19 @@
         return logRetentionMs - logRetentionMs / 4;
     }
 
+    /** The lease, which never outlasts a view that isn't stated again. */
+    public long claimLeaseMs() {
+        return Math.min(leaseMs, viewExpiryMs());
+    }
+
+    /**
+     * How long after a fence was seen on the log the members of the view before it have stopped
+     * claiming: their lease, plus a margin for clocks of different speed.
+     */
+    public long fenceMs() {
+        return claimLeaseMs() + claimLeaseMs() / CLOCK_RATE_DIVISOR + clockSkewMs;
+    }
+
     /** Age of a view's last statement at which a member states the view again. */
     public long restateAfterMs() {
         return logRetentionMs / 4;
--- a/core/src/main/java/org/boragegap/core/claim/ClaimMessage.java
+++ b/core/src/main/java/org/boragegap/core/claim/ClaimMessage.java
@@ -57,6 +57,23 @@
         public static final long NO_ECHO = Long.MIN_VALUE;
     }
 
+    /**
+     * Asks a member when it last read the log; sent by one that can't read it.
+     *
+     * @param viewUid the sender's view
+     * @param sentMs the sender's monotonic time
+     */
+    record LogReadQuery(long viewUid, long sentMs) implements ClaimMessage {}
+
+    /**
+     * Answers a query for the last read of the log that reached its end.
+     *
+     * @param viewUid the sender's view, which is that of the query
+     * @param querySentMs time in the query
+     * @param readAgeMs how long before this answer the read was sent
+     */
+    record LogReadAge(long viewUid, long querySentMs, long readAgeMs) implements ClaimMessage {}
+
     /** Asks to be a member of the next view. */
     record Join() implements ClaimMessage {}
 
--- a/core/src/main/java/org/boragegap/core/claim/ClaimOutcome.java
+++ b/core/src/main/java/org/boragegap/core/claim/ClaimOutcome.java
@@ -21,6 +21,12 @@
      * The claim was not granted, but an earlier submission of the id may have been started.
      *
      * @param reason one line of text for the caller
+     * @param waitMs estimated time until ids can be claimed again; 0 if they can be now
      */
-    record Unknown(String reason) implements ClaimOutcome {}
+    record Unknown(String reason, long waitMs) implements ClaimOutcome {
+        /** Creates the outcome where there is nothing to wait for. */
+        public Unknown(String reason) {
+            this(reason, 0);
+        }
+    }
 }
--- a/core/src/main/java/org/boragegap/core/claim/ClaimProtocol.java
+++ b/core/src/main/java/org/boragegap/core/claim/ClaimProtocol.java
@@ -63,9 +63,9 @@
         return mViews.currentView();
     }
 
-    /** True when this member can make claims, so that callers may be routed to it. */
+    /** True when callers may be routed to this member. */
     public boolean ready(ClockReading clock) {
-        return mViews.canClaim(clock);
+        return mViews.serving(clock);
     }
 
     /** Number of submissions with at least one recorded claim. */
@@ -122,7 +122,12 @@
         if (createdMs <= coverageStartMs) {
             return Optional.of(olderThanCoverage());
         }
-        return Optional.empty();
+        return mViews.fenceRemainingMs(clock).map(ClaimProtocol::fenced);
+    }
+
+    private static ClaimOutcome fenced(long remainingMs) {
+        return new ClaimOutcome.Unknown(
+                "earlier entry VMs of this failure domain may still be at work", remainingMs);
     }
 
     private ClaimOutcome outcomeForExisting(Claim claim, long fingerprint) {
@@ -186,6 +191,10 @@
             mTransfer.onFetch(from, fetch, out);
         } else if (message instanceof ClaimMessage.Claims claims) {
             mTransfer.onClaims(claims, clock);
+        } else if (message instanceof ClaimMessage.LogReadQuery query) {
+            mViews.onLogReadQuery(from, query, clock, out);
+        } else if (message instanceof ClaimMessage.LogReadAge age) {
+            mViews.onLogReadAge(age);
         }
     }
 
@@ -210,9 +219,12 @@
         mViews.onTick(clock, out);
         mTable.expire(clock.monotonicMs(), mLimits.claimRetentionMs());
         mTransfer.onTick(clock, out);
+        boolean lapsed = mViews.leaseLapsed(clock);
         for (PendingClaim pending : new ArrayList<>(mPending.values())) {
-            if (clock.monotonicMs() - pending.mRequestedMs >= mLimits.claimTimeoutMs()) {
-                timeOut(pending, out);
+            if (lapsed) {
+                endWithoutGrant(pending, "this failure domain doesn't hear from the log", out);
+            } else if (clock.monotonicMs() - pending.mRequestedMs >= mLimits.claimTimeoutMs()) {
+                endWithoutGrant(pending, "no agreement within this failure domain", out);
             } else if (clock.monotonicMs() - pending.mLastSentMs >= mLimits.resendMs()) {
                 requestAcknowledgements(pending, clock, out);
             }
@@ -288,11 +300,10 @@
      * The outcome is unknown, not that nothing was run: without every member's acknowledgement, a
      * member of a later view that is not known here may already have started the submission.
      */
-    private void timeOut(PendingClaim pending, List<ClaimAction> out) {
+    private void endWithoutGrant(PendingClaim pending, String reason, List<ClaimAction> out) {
         ClaimKey key = pending.mClaim.key();
         mPending.remove(key);
         releaseClaim(pending.mClaim, out);
-        String reason = "no agreement within this failure domain";
         out.add(new ClaimAction.Resolve(key, new ClaimOutcome.Unknown(reason)));
     }
 
--- a/core/src/main/java/org/boragegap/core/claim/DomainView.java
+++ b/core/src/main/java/org/boragegap/core/claim/DomainView.java
@@ -30,16 +30,76 @@
     /** Coverage start of a view whose members know every claim ever made. */
     public static final long COVERS_ALL = 0;
 
+    /**
+     * Creates a view without a parent.
+     *
+     * @param wallMs wall-clock time of its proposal
+     * @param uid random identifier
+     * @param member its only member
+     * @param coverageStartMs ids created up to this time may have been claimed before
+     */
+    public static DomainView first(long wallMs, long uid, Member member, long coverageStartMs) {
+        return new DomainView(wallMs, uid, NO_PARENT, List.of(member), List.of(), coverageStartMs);
+    }
+
+    /**
+     * Creates a view that follows this one.
+     *
+     * @param nextUid random identifier of the new view
+     * @param nextMembers its members
+     * @param nextNewcomers those of them that don't hold this view's claims
+     * @param nextCoverageStartMs ids created up to this time may have been claimed before
+     */
+    public DomainView successor(
+            long nextUid,
+            List<Member> nextMembers,
+            List<Member> nextNewcomers,
+            long nextCoverageStartMs) {
+        return new DomainView(
+                number + 1,
+                nextUid,
+                uid,
+                List.copyOf(nextMembers),
+                List.copyOf(nextNewcomers),
+                nextCoverageStartMs);
+    }
+
     /** True when the member is part of this view. */
     public boolean contains(Member member) {
         return members.contains(member);
     }
 
+    /** This view in one line, for the log. */
+    public String describe() {
+        return "number="
+                + number
+                + " uid="
+                + uid
+                + " parent="
+                + parentUid
+                + " members="
+                + members
+                + " newcomers="
+                + newcomers
+                + " coverageStartMs="
+                + coverageStartMs;
+    }
+
     /** Members that held the parent's claims. */
     public List<Member> establishedMembers() {
         return members.stream().filter(member -> !newcomers.contains(member)).toList();
     }
 
+    /**
+     * True for a view none of whose members holds the parent's claims. It is proposed by a VM that
+     * presumes the parent's members dead, and nobody claims under it. A view that follows it may
+     * claim: one of a member of the parent that is alive after all and holds the claims, or one of
+     * any VM once all members of the parent have stopped.
+     */
+    public boolean isFence() {
+        return establishedMembers().isEmpty();
+    }
+
     /** The member at this address, if any. */
     public Optional<Member> memberAt(String address) {
         return members.stream().filter(member -> member.address().equals(address)).findFirst();
--- a/core/src/main/java/org/boragegap/core/claim/LogBatch.java
+++ b/core/src/main/java/org/boragegap/core/claim/LogBatch.java
@@ -10,6 +10,20 @@
  * @param nextOffset offset after that of the last record that was read
  * @param nowMs time of the read by the log's clock
  * @param atEnd whether the read reached the end of the log
+ * @param sentMs this reader's monotonic time when the read was sent
  */
 public record LogBatch(
-        List<LoggedView> views, long firstOffset, long nextOffset, long nowMs, boolean atEnd) {}
+        List<LoggedView> views,
+        long firstOffset,
+        long nextOffset,
+        long nowMs,
+        boolean atEnd,
+        long sentMs) {
+    private static final long WHEN_HANDLED = Long.MAX_VALUE;
+
+    /** Creates the result of a read that is handled in the moment in which it was sent. */
+    public LogBatch(
+            List<LoggedView> views, long firstOffset, long nextOffset, long nowMs, boolean atEnd) {
+        this(views, firstOffset, nextOffset, nowMs, atEnd, WHEN_HANDLED);
+    }
+}
--- a/core/src/main/java/org/boragegap/core/claim/ViewManager.java
+++ b/core/src/main/java/org/boragegap/core/claim/ViewManager.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.boragegap.core.ClockReading;
 
 /**
@@ -30,6 +31,9 @@
     private final LongSupplier mUids;
     private final ViewLog mLog;
     private final MemberHealth mHealth;
+    private final ClaimLease mLease;
+    private Optional<DomainView> mFencedView = Optional.empty();
+    private long mViewSinceMs;
     private final Map<Member, Long> mJoinRequestMs = new HashMap<>();
     private final Set<Member> mPeersWithAllClaims = new HashSet<>();
     private boolean mHasAllClaims;
@@ -50,6 +54,7 @@
         mUids = uids;
         mLog = new ViewLog(limits.logRetentionMs());
         mHealth = new MemberHealth(limits.suspectMs());
+        mLease = new ClaimLease(self, limits);
     }
 
     Optional<DomainView> currentView() {
@@ -64,14 +69,39 @@
         return mHasAllClaims;
     }
 
+    /** True when this member may claim and acknowledge. */
+    boolean canClaim(ClockReading clock) {
+        return established(clock) && mLease.valid(clock);
+    }
+
+    /** True when this member could claim but for its lease. */
+    boolean leaseLapsed(ClockReading clock) {
+        return established(clock) && !mLease.valid(clock);
+    }
+
+    /**
+     * True when this member can serve callers. Submissions without an id need no claim, so that
+     * neither a lapsed lease nor a fence prevents it.
+     */
+    boolean serving(ClockReading clock) {
+        return established(clock) || inView() && currentView().get().isFence();
+    }
+
+    /** The time until a claim is possible again, if the current view is a fence. */
+    Optional<Long> fenceRemainingMs(ClockReading clock) {
+        return currentView()
+                .filter(DomainView::isFence)
+                .map(fence -> Math.max(0, mViewSinceMs + mLimits.fenceMs() - clock.monotonicMs()));
+    }
+
     /**
-     * True when this member may claim and acknowledge.
+     * True when this member holds all claims of a view that has not expired.
      *
      * <p>A view that isn't stated again within the log's retention expires: a VM that finds no view
      * on the log then starts a new one, which members that were paused or disconnected don't know
      * of. This check makes them stop before that can happen.
      */
-    boolean canClaim(ClockReading clock) {
+    private boolean established(ClockReading clock) {
         return mHasAllClaims
                 && inView()
                 && clock.monotonicMs() - mLastStatedMs < mLimits.viewExpiryMs();
@@ -87,10 +117,13 @@
         }
         mLastReadOffset = batch.nextOffset() - 1;
         mAtLogEnd = batch.atEnd();
+        if (batch.atEnd()) {
+            mLease.renew(Math.min(batch.sentMs(), clock.monotonicMs()));
+        }
         if (currentView().isEmpty() || currentView().equals(before)) {
             return false;
         }
-        onViewChanged("log", clock, out);
+        onViewChanged("log", before, clock, out);
         return true;
     }
 
@@ -109,13 +142,14 @@
     boolean onViewIs(
             Member from, ClaimMessage.ViewIs message, ClockReading clock, List<ClaimAction> out) {
         mPeerSentMs.put(from, message.sentMs());
+        Optional<DomainView> before = currentView();
         boolean changed = mLog.adopt(message.view());
         if (changed) {
             mLastStatedMs = Long.MIN_VALUE / 2;
         }
         updateLastStated(message);
         if (changed) {
-            onViewChanged("peer " + from.address(), clock, out);
+            onViewChanged("peer " + from.address(), before, clock, out);
         }
         boolean sameView = message.view().uid() == currentView().map(DomainView::uid).orElse(0L);
         if (sameView && message.complete()) {
@@ -151,9 +185,13 @@
                         view, mHasAllClaims, statedAgeMs, clock.monotonicMs(), echoMs));
     }
 
-    private void onViewChanged(String source, ClockReading clock, List<ClaimAction> out) {
+    private void onViewChanged(
+            String source, Optional<DomainView> before, ClockReading clock, List<ClaimAction> out) {
         DomainView view = currentView().orElseThrow();
-        out.add(new ClaimAction.Log("view", "source=" + source, describe(view)));
+        boolean fencedHere = view.isFence() && mHasAllClaims;
+        mFencedView = before.filter(parent -> fencedHere && parent.uid() == view.parentUid());
+        mViewSinceMs = clock.monotonicMs();
+        out.add(new ClaimAction.Log("view", "source=" + source, view.describe()));
         boolean onlyEstablishedMember =
                 view.establishedMembers().equals(List.of(mSelf)) && !mHasAllClaims;
         boolean established = view.establishedMembers().contains(mSelf);
@@ -168,21 +206,6 @@
         sendHeartbeats(clock, out);
     }
 
-    private static String describe(DomainView view) {
-        return "number="
-                + view.number()
-                + " uid="
-                + view.uid()
-                + " parent="
-                + view.parentUid()
-                + " members="
-                + view.members()
-                + " newcomers="
-                + view.newcomers()
-                + " coverageStartMs="
-                + view.coverageStartMs();
-    }
-
     void recordContact(Member from, ClockReading clock) {
         mHealth.recordContact(from, clock.monotonicMs());
         currentView()
@@ -227,12 +250,18 @@
 
     void onTick(ClockReading clock, List<ClaimAction> out) {
         mHealth.onTick(clock.monotonicMs());
+        mLease.onTick(clock, out);
+        currentView()
+                .filter(view -> inView())
+                .ifPresent(view -> mLease.queryIfOld(view, clock, out));
         if (mAtLogEnd && currentView().isEmpty()) {
             mLog.forgetBefore(clock.wallMs() - mLimits.logRetentionMs() - mLimits.clockSkewMs());
             bootstrap(clock, out);
+        } else if (currentView().filter(DomainView::isFence).isPresent()) {
+            endFence(clock, out);
         } else if (currentView().isPresent() && !(inView() && mHasAllClaims)) {
             takeOverIfOthersDead(clock, out);
-        } else if (canClaim(clock)) {
+        } else if (established(clock)) {
             maintainView(clock, out);
         }
         if (clock.monotonicMs() - mLastHeartbeatMs >= heartbeatIntervalMs()) {
@@ -246,18 +275,9 @@
         }
         boolean firstEver = mReadFromLogStart && !mSawAnyRecord;
         long coverageStartMs = firstEver ? DomainView.COVERS_ALL : coverageFromNow(clock);
-        List<Member> members = List.of(mSelf);
-        propose(
-                "reason=first",
-                new DomainView(
-                        clock.wallMs(),
-                        mUids.getAsLong(),
-                        DomainView.NO_PARENT,
-                        members,
-                        List.of(),
-                        coverageStartMs),
-                clock,
-                out);
+        DomainView first =
+                DomainView.first(clock.wallMs(), mUids.getAsLong(), mSelf, coverageStartMs);
+        propose("reason=first", first, clock, out);
     }
 
     /**
@@ -276,31 +296,69 @@
                 .ifPresent(mHealth::recordDeparture);
         List<Member> others =
                 view.members().stream().filter(member -> !member.equals(mSelf)).toList();
-        if (mAtLogEnd
-                && others.stream()
-                        .allMatch(member -> mHealth.presumedDead(member, clock.monotonicMs()))) {
-            takeOver(view, clock, out);
+        boolean presumedDead =
+                others.stream()
+                        .allMatch(member -> mHealth.presumedDead(member, clock.monotonicMs()));
+        if (!mAtLogEnd || !presumedDead) {
+            return;
+        }
+        if (others.stream().allMatch(mHealth::departed)) {
+            proposeAlone("takeover", List.of(), coverageFromNow(clock), clock, out);
+        } else {
+            proposeAlone("fence", List.of(mSelf), coverageFromNow(clock), clock, out);
         }
     }
 
     /**
-     * Proposes a view of this member alone. The other members are presumed dead, so only the
-     * knowledge of their claims is lost, which the coverage start accounts for.
+     * Proposes the view that follows a fence. A member of the view before it that holds its claims
+     * has stopped granting under that view, so no claim is lost if it goes on by itself. Any other
+     * VM waits until all those members must have stopped; only the knowledge of their claims is
+     * lost then, which the coverage start accounts for.
      */
-    private void takeOver(DomainView previous, ClockReading clock, List<ClaimAction> out) {
+    private void endFence(ClockReading clock, List<ClaimAction> out) {
+        if (mFencedView.isPresent()) {
+            long coverageStartMs = mFencedView.get().coverageStartMs();
+            proposeAlone("reclaim", List.of(), coverageStartMs, clock, out);
+        } else if (mAtLogEnd && clock.monotonicMs() - mViewSinceMs >= mLimits.fenceMs()) {
+            proposeAlone("fence-over", List.of(), coverageFromNow(clock), clock, out);
+        }
+    }
+
+    /** Proposes a view of this member alone that follows the current one. */
+    private void proposeAlone(
+            String reason,
+            List<Member> newcomers,
+            long coverageStartMs,
+            ClockReading clock,
+            List<ClaimAction> out) {
+        DomainView parent = currentView().orElseThrow();
         propose(
-                "reason=takeover",
-                new DomainView(
-                        previous.number() + 1,
-                        mUids.getAsLong(),
-                        previous.uid(),
-                        List.of(mSelf),
-                        List.of(),
-                        coverageFromNow(clock)),
+                "reason=" + reason,
+                parent.successor(mUids.getAsLong(), List.of(mSelf), newcomers, coverageStartMs),
                 clock,
                 out);
     }
 
+    void onLogReadQuery(
+            Member from,
+            ClaimMessage.LogReadQuery query,
+            ClockReading clock,
+            List<ClaimAction> out) {
+        if (isCurrent(query.viewUid())) {
+            mLease.answer(from, query, clock, out);
+        }
+    }
+
+    void onLogReadAge(ClaimMessage.LogReadAge age) {
+        if (isCurrent(age.viewUid())) {
+            mLease.onLogReadAge(age);
+        }
+    }
+
+    private boolean isCurrent(long viewUid) {
+        return currentView().filter(view -> view.uid() == viewUid).isPresent();
+    }
+
     private void maintainView(ClockReading clock, List<ClaimAction> out) {
         DomainView view = currentView().orElseThrow();
         boolean statementDue = clock.monotonicMs() - mLastStatedMs >= mLimits.restateAfterMs();
@@ -382,13 +440,7 @@
         members.add(0, mSelf);
         propose(
                 "reason=members",
-                new DomainView(
-                        view.number() + 1,
-                        mUids.getAsLong(),
-                        view.uid(),
-                        List.copyOf(members),
-                        List.copyOf(newcomers),
-                        view.coverageStartMs()),
+                view.successor(mUids.getAsLong(), members, newcomers, view.coverageStartMs()),
                 clock,
                 out);
     }
@@ -404,19 +456,16 @@
             return;
         }
         mLastProposalMs = clock.monotonicMs();
-        out.add(new ClaimAction.Log("propose-view", reason + evidence(clock), describe(next)));
+        out.add(new ClaimAction.Log("propose-view", reason + evidence(clock), next.describe()));
         out.add(new ClaimAction.Append(ViewRecord.proposal(mDomain, next)));
     }
 
     /** What is known of the current view's other members, for the log. */
     private String evidence(ClockReading clock) {
-        List<String> evidence = new ArrayList<>();
-        for (Member member : currentView().map(DomainView::members).orElse(List.of())) {
-            if (!member.equals(mSelf)) {
-                evidence.add(mHealth.describe(member, clock.monotonicMs()));
-            }
-        }
-        return " members=" + evidence;
+        return currentView().map(DomainView::members).orElse(List.of()).stream()
+                .filter(member -> !member.equals(mSelf))
+                .map(member -> mHealth.describe(member, clock.monotonicMs()))
+                .collect(Collectors.joining(", ", " members=[", "]"));
     }
 
     private void restateView(ClockReading clock, List<ClaimAction> out) {
--- a/core/src/main/java/org/boragegap/core/dispatch/Replies.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/Replies.java
@@ -35,15 +35,21 @@
 
     /** An answer to a submission that isn't known to have run, but may have. */
     static Answer mayHaveRun(Submission submission, String reason) {
-        return retryableFailure(FailureKind.MAY_HAVE_RUN, submission, reason);
+        return mayHaveRun(submission, reason, 0);
+    }
+
+    /** The same where ids can be claimed again only after a wait. */
+    static Answer mayHaveRun(Submission submission, String reason, long waitMs) {
+        return retryableFailure(FailureKind.MAY_HAVE_RUN, submission, reason, waitMs);
     }
 
     static Answer notRun(Submission submission, String reason) {
-        return retryableFailure(FailureKind.NOT_RUN, submission, reason);
+        return retryableFailure(FailureKind.NOT_RUN, submission, reason, 0);
     }
 
-    private static Answer retryableFailure(FailureKind kind, Submission submission, String reason) {
+    private static Answer retryableFailure(
+            FailureKind kind, Submission submission, String reason, long waitMs) {
         long spread = submission.id().claimKey().low();
-        return new Answer.Failed(kind, reason, RetryAfter.delayMs(0, spread));
+        return new Answer.Failed(kind, reason, RetryAfter.delayMs(waitMs, spread));
     }
 }
--- a/core/src/main/java/org/boragegap/core/dispatch/SubmissionRouter.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/SubmissionRouter.java
@@ -216,7 +216,7 @@
         } else if (outcome instanceof ClaimOutcome.Conflict) {
             mReplies.replyAll(pending.mCallers, submission, Replies.conflict(), out);
         } else if (outcome instanceof ClaimOutcome.Unknown unknown) {
-            Answer answer = Replies.mayHaveRun(submission, unknown.reason());
+            Answer answer = Replies.mayHaveRun(submission, unknown.reason(), unknown.waitMs());
             mReplies.replyAll(pending.mCallers, submission, answer, out);
         }
     }
--- a/core/src/test/java/org/boragegap/core/claim/ClaimProtocolTest.java
+++ b/core/src/test/java/org/boragegap/core/claim/ClaimProtocolTest.java
@@ -11,7 +11,7 @@
 /** Cases of the claim protocol with two members, between which the tests deliver the messages. */
 final class ClaimProtocolTest {
     private static final ClaimLimits LIMITS =
-            new ClaimLimits(60_000, 100, 4_000, 200, 1_000, 10_000, 60_000);
+            new ClaimLimits(60_000, 100, 4_000, 200, 1_000, 10_000, 7_500, 60_000);
     private static final long WALL_MS = 1_000_000;
     private static final Member A = new Member("a:1", 1);
     private static final Member B = new Member("b:1", 1);
--- a/core/src/test/java/org/boragegap/core/dispatch/FakeVm.java
+++ b/core/src/test/java/org/boragegap/core/dispatch/FakeVm.java
@@ -21,6 +21,7 @@
     boolean mPaused;
     int mLogOffset;
     int mFirstOffset;
+    long mSuspendedMs;
 
     FakeVm(Member member, int domain, Dispatcher dispatcher, long skewMs) {
         mMember = member;
@@ -30,6 +31,6 @@
     }
 
     ClockReading clock(long nowMs) {
-        return new ClockReading(MONOTONIC_START + nowMs, nowMs + mSkewMs);
+        return new ClockReading(MONOTONIC_START + nowMs - mSuspendedMs, nowMs + mSkewMs);
     }
 }
--- a/core/src/test/java/org/boragegap/core/dispatch/FakeVmList.java
+++ b/core/src/test/java/org/boragegap/core/dispatch/FakeVmList.java
@@ -8,6 +8,7 @@
 /** Which entry VMs the platform's list lacks, for each of its readers, though they may run. */
 final class FakeVmList {
     private final Map<String, Set<String>> mOmittedByReader = new HashMap<>();
+    private final Set<String> mRemoved = new HashSet<>();
 
     /** Leaves a VM out of the lists that the reader gets from now on. */
     void omit(String reader, String address) {
@@ -19,7 +20,13 @@
         mOmittedByReader.getOrDefault(reader, new HashSet<>()).remove(address);
     }
 
+    /** Leaves a VM out of all lists for good. */
+    void remove(String address) {
+        mRemoved.add(address);
+    }
+
     boolean lists(String reader, String address) {
-        return !mOmittedByReader.getOrDefault(reader, Set.of()).contains(address);
+        return !mRemoved.contains(address)
+                && !mOmittedByReader.getOrDefault(reader, Set.of()).contains(address);
     }
 }
--- a/core/src/test/java/org/boragegap/core/dispatch/History.java
+++ b/core/src/test/java/org/boragegap/core/dispatch/History.java
@@ -3,12 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.SplittableRandom;
 import org.boragegap.core.claim.ClaimLimits;
 import org.boragegap.core.claim.LogBatch;
@@ -32,30 +30,27 @@
  */
 final class History {
     static final ClaimLimits LIMITS =
-            new ClaimLimits(40_000, 300, 4_000, 250, 1_000, 30_000, 5_000);
+            new ClaimLimits(40_000, 300, 4_000, 250, 1_000, 30_000, 7_500, 5_000);
     private static final long START_MS = 1_800_000_000_000L;
     private static final long TICK_MS = 250;
-    private static final long LENGTH_MS = 60_000;
+    static final long LENGTH_MS = 60_000;
     private static final int JOBS = 12;
     private static final int TASKS = 2;
     private static final long DEADLINE_MS = 8_000;
     private static final long LIST_READ_MS = 1_000;
-    private static final long LIST_LAG_MS = 2_000;
 
     private record Scheduled(long atMs, long sequence, Runnable action) {}
 
     private final SplittableRandom mRandom;
     private final boolean mListUnreliable;
     private final int mDomains;
-    private final FakeVmList mList = new FakeVmList();
     private final FakeLog mLog = new FakeLog(LIMITS.logRetentionMs());
     private final PriorityQueue<Scheduled> mEvents =
             new PriorityQueue<>(
                     Comparator.comparingLong(Scheduled::atMs)
                             .thenComparingLong(Scheduled::sequence));
     private final Map<String, FakeVm> mVms = new HashMap<>();
-    private final Set<String> mCutPairs = new HashSet<>();
-    private final Set<String> mCutFromLog = new HashSet<>();
+    private final HistoryFailures mFailures;
     private final Map<String, Integer> mStarts = new HashMap<>();
     private final Map<Long, String> mOpenCallers = new HashMap<>();
     private final Map<Long, FakeVm> mLinks = new HashMap<>();
@@ -76,6 +71,7 @@
     private History(long seed, boolean listUnreliable) {
         mRandom = new SplittableRandom(seed);
         mListUnreliable = listUnreliable;
+        mFailures = new HistoryFailures(this, listUnreliable);
         mDomains = 1 + mRandom.nextInt(3);
         int vmsEach = mDomains == 1 ? 2 + mRandom.nextInt(3) : 2;
         for (int domain = 0; domain < mDomains; domain++) {
@@ -84,7 +80,7 @@
             }
         }
         at(3_000, this::submitAll);
-        at(2_500, this::scheduleFailures);
+        at(2_500, mFailures::schedule);
     }
 
     /**
@@ -123,25 +119,43 @@
         return mFailed;
     }
 
-    private void at(long delayMs, Runnable action) {
+    void at(long delayMs, Runnable action) {
         mEvents.add(new Scheduled(mNowMs + delayMs, mSequence++, action));
     }
 
-    private long random(long bound) {
+    int randomIndex(int bound) {
+        return mRandom.nextInt(bound);
+    }
+
+    long random(long bound) {
         return mRandom.nextLong(bound);
     }
 
-    private boolean chance(int percent) {
+    boolean chance(int percent) {
         return mRandom.nextInt(100) < percent;
     }
 
-    private FakeVm randomVm() {
+    int domains() {
+        return mDomains;
+    }
+
+    /** All VMs by address, also those that have ended. */
+    Map<String, FakeVm> vms() {
+        return mVms;
+    }
+
+    /** A number that no earlier call has returned. */
+    long nextNumber() {
+        return mSequence++;
+    }
+
+    FakeVm randomVm() {
         List<String> addresses = new ArrayList<>(mVms.keySet());
         addresses.sort(Comparator.naturalOrder());
         return mVms.get(addresses.get(mRandom.nextInt(addresses.size())));
     }
 
-    private void startVm(String address, int domain) {
+    void startVm(String address, int domain) {
         Member member = new Member(address, mNowMs + 1);
         List<String> domains = new ArrayList<>();
         for (int i = 0; i < mDomains; i++) {
@@ -170,7 +184,7 @@
     private void deliverVmList(FakeVm vm) {
         List<ListedVm> vms = new ArrayList<>();
         for (FakeVm other : mVms.values()) {
-            if (!mList.lists(vm.mMember.address(), other.mMember.address())) {
+            if (!mFailures.lists(vm, other)) {
                 continue;
             }
             vms.add(listed(other.mMember.address(), other.mDomain, VmKind.ENTRY));
@@ -201,8 +215,10 @@
         if (!vm.mAlive) {
             return;
         }
-        at(250 + random(250), () -> readLog(vm));
-        if (vm.mPaused || mCutFromLog.contains(vm.mMember.address())) {
+        // A reader sends its next read when it has the answer to the last one.
+        long lateMs = mListUnreliable && chance(5) ? random(5_000) : 0;
+        at(lateMs + 250 + random(250), () -> readLog(vm));
+        if (vm.mPaused || mFailures.cutFromLog(vm)) {
             return;
         }
         int first = mLog.firstOffset(mNowMs);
@@ -211,8 +227,9 @@
         }
         List<LoggedView> views = mLog.read(vm.mLogOffset, mNowMs);
         vm.mLogOffset = mLog.endOffset();
-        LogBatch batch = new LogBatch(views, vm.mFirstOffset, vm.mLogOffset, mNowMs, true);
-        at(random(8), () -> deliver(vm, new Event.LogRead(batch, List.of())));
+        long sentMs = vm.clock(mNowMs).monotonicMs();
+        LogBatch batch = new LogBatch(views, vm.mFirstOffset, vm.mLogOffset, mNowMs, true, sentMs);
+        at(lateMs + random(8), () -> deliver(vm, new Event.LogRead(batch, List.of())));
     }
 
     /** Delivers an event to a VM; a paused VM handles it when it resumes. */
@@ -229,7 +246,7 @@
         checkRefusals(event, actions);
         // A process may be paused between a decision and the send that executes it.
         if (chance(1) && chance(30)) {
-            pause(vm);
+            mFailures.pause(vm);
             vm.mDeferred.add(() -> actions.forEach(action -> execute(vm, action)));
             return;
         }
@@ -257,13 +274,8 @@
         }
     }
 
-    private boolean cut(FakeVm from, String to) {
-        String one = from.mMember.address();
-        return mCutPairs.contains(one + to) || mCutPairs.contains(to + one);
-    }
-
     private void send(FakeVm from, String to, Event event) {
-        if (cut(from, to) || chance(2)) {
+        if (mFailures.cut(from, to) || chance(2)) {
             return;
         }
         FakeVm target = mVms.get(to);
@@ -271,7 +283,7 @@
     }
 
     private void append(FakeVm vm, Action.AppendView append) {
-        boolean lost = mCutFromLog.contains(vm.mMember.address()) && chance(80);
+        boolean lost = mFailures.cutFromLog(vm) && chance(80);
         if (!lost) {
             long delayMs = chance(10) ? random(6_000) : 2 + random(10);
             at(delayMs, () -> mLog.append(append.record(), mNowMs));
@@ -280,7 +292,7 @@
 
     private void forward(FakeVm from, Action.Forward forward) {
         FakeVm to = mVms.get(forward.address());
-        if (cut(from, forward.address()) || to == null) {
+        if (mFailures.cut(from, forward.address()) || to == null) {
             at(5, () -> deliver(from, lost(forward, false)));
             return;
         }
@@ -293,7 +305,7 @@
     }
 
     private void checkForward(FakeVm from, FakeVm to, Action.Forward forward) {
-        if (!to.mAlive || to.mPaused || cut(from, to.mMember.address())) {
+        if (!to.mAlive || to.mPaused || mFailures.cut(from, to.mMember.address())) {
             deliver(from, lost(forward, true));
         }
     }
@@ -326,7 +338,7 @@
     private void reply(FakeVm vm, Action.Reply reply) {
         if (reply.caller() instanceof CallerRef.PeerCaller peer) {
             FakeVm requester = mLinks.get(peer.link());
-            if (!cut(vm, requester.mMember.address())) {
+            if (!mFailures.cut(vm, requester.mMember.address())) {
                 Event event = new Event.ForwardAnswered(peer.forwardId(), reply.answer());
                 at(1 + random(3), () -> deliver(requester, event));
             }
@@ -421,122 +433,4 @@
         CallerRef caller = new CallerRef.HttpCaller(token);
         deliver(vm, new Event.Submitted(caller, submission, false, 0));
     }
-
-    private void scheduleFailures() {
-        int failures = mRandom.nextInt(9);
-        for (int i = 0; i < failures; i++) {
-            at(random(LENGTH_MS - 12_000), this::injectFailure);
-        }
-    }
-
-    private void injectFailure() {
-        int kind = mRandom.nextInt(mListUnreliable ? 10 : 6);
-        switch (kind) {
-            case 0 -> replace(randomVm());
-            case 1 -> pause(randomVm());
-            case 2 -> cutPair(randomVm(), randomVm());
-            case 3 -> cutLog(List.of(randomVm()), 2_000 + random(15_000));
-            case 4 -> cutLog(new ArrayList<>(mVms.values()), 2_000 + random(25_000));
-            case 5 -> cutLog(new ArrayList<>(mVms.values()), 40_000);
-            case 6 -> omit(List.of(randomVm()), 6_000 + random(20_000));
-            case 7 -> omitAndCut(randomVm(), randomVm());
-            case 8 -> isolate(mRandom.nextInt(mDomains));
-            default -> replaceAll(mRandom.nextInt(mDomains));
-        }
-    }
-
-    /** Leaves VMs out of the lists of most other VMs for a while. */
-    private void omit(List<FakeVm> vms, long lengthMs) {
-        for (FakeVm vm : vms) {
-            for (FakeVm reader : mVms.values()) {
-                if (reader != vm && chance(80)) {
-                    String readerAddress = reader.mMember.address();
-                    String address = vm.mMember.address();
-                    mList.omit(readerAddress, address);
-                    at(lengthMs, () -> mList.restore(readerAddress, address));
-                }
-            }
-        }
-    }
-
-    private void omitAndCut(FakeVm vm, FakeVm other) {
-        omit(List.of(vm), 6_000 + random(20_000));
-        cutPair(vm, other);
-    }
-
-    private List<FakeVm> vmsOf(int domain) {
-        return mVms.values().stream()
-                .filter(vm -> vm.mDomain == domain && vm.mAlive)
-                .sorted(Comparator.comparing(vm -> vm.mMember.address()))
-                .toList();
-    }
-
-    /**
-     * Cuts the VMs of a failure domain off from the log and from all other VMs, and then leaves
-     * them out of the list, while another VM starts in that domain.
-     */
-    private void isolate(int domain) {
-        List<FakeVm> isolated = vmsOf(domain);
-        startVm("vm" + domain + "x" + mSequence + ":1", domain);
-        long lengthMs = 10_000 + random(25_000);
-        cutLog(isolated, lengthMs);
-        for (FakeVm vm : isolated) {
-            for (FakeVm other : mVms.values()) {
-                if (!isolated.contains(other)) {
-                    cutPairFor(vm, other, lengthMs);
-                }
-            }
-        }
-        at(LIST_LAG_MS, () -> omit(isolated, lengthMs));
-    }
-
-    /** Ends all VMs of a failure domain for good and starts others at other addresses. */
-    private void replaceAll(int domain) {
-        List<FakeVm> ended = vmsOf(domain);
-        startVm("vm" + domain + "y" + mSequence + ":1", domain);
-        ended.forEach(vm -> vm.mAlive = false);
-        at(LIST_LAG_MS, () -> omit(ended, LENGTH_MS));
-    }
-
-    /** Kills the VM's process and starts a new one at the same address later. */
-    private void replace(FakeVm vm) {
-        vm.mAlive = false;
-        at(random(4_000), () -> startVm(vm.mMember.address(), vm.mDomain));
-    }
-
-    private void pause(FakeVm vm) {
-        if (vm.mPaused) {
-            return;
-        }
-        vm.mPaused = true;
-        at(200 + random(chance(30) ? 40_000 : 6_000), () -> resume(vm));
-    }
-
-    private void resume(FakeVm vm) {
-        vm.mPaused = false;
-        List<Runnable> deferred = new ArrayList<>(vm.mDeferred);
-        vm.mDeferred.clear();
-        if (vm.mAlive) {
-            deferred.forEach(Runnable::run);
-        }
-    }
-
-    private void cutPair(FakeVm one, FakeVm other) {
-        cutPairFor(one, other, 1_000 + random(20_000));
-    }
-
-    private void cutPairFor(FakeVm one, FakeVm other, long lengthMs) {
-        String pair = one.mMember.address() + other.mMember.address();
-        mCutPairs.add(pair);
-        at(lengthMs, () -> mCutPairs.remove(pair));
-    }
-
-    private void cutLog(List<FakeVm> vms, long lengthMs) {
-        for (FakeVm vm : vms) {
-            String address = vm.mMember.address();
-            if (mCutFromLog.add(address)) {
-                at(lengthMs, () -> mCutFromLog.remove(address));
-            }
-        }
-    }
 }
--- a/entry/src/main/java/org/boragegap/entry/EntryService.java
+++ b/entry/src/main/java/org/boragegap/entry/EntryService.java
@@ -161,6 +161,7 @@
                         settings.number(Setting.RESEND_MS),
                         settings.number(Setting.SUSPECT_MS),
                         settings.number(Setting.LOG_RETENTION_MS),
+                        settings.number(Setting.CLAIM_LEASE_MS),
                         VM_UNLISTED_MS);
         RandomGenerator random =
                 new java.util.SplittableRandom(mSelf.incarnation() ^ mSelf.address().hashCode());
--- a/entry/src/main/java/org/boragegap/entry/LogPoller.java
+++ b/entry/src/main/java/org/boragegap/entry/LogPoller.java
@@ -13,6 +13,7 @@
 import org.boragegap.core.claim.LogBatch;
 import org.boragegap.core.claim.LoggedView;
 import org.boragegap.core.dispatch.Event;
+import org.boragegap.http.HttpClient;
 import org.boragegap.platform.LogClient;
 import org.boragegap.platform.LogEntry;
 import org.boragegap.platform.LogPage;
@@ -58,12 +59,13 @@
         if (!mReadInProgress.compareAndSet(false, true)) {
             return;
         }
-        mLog.read(mNextOffset, this::onPage);
+        long sentMs = HttpClient.nowMs();
+        mLog.read(mNextOffset, page -> onPage(page, sentMs));
     }
 
-    private void onPage(Optional<LogPage> page) {
+    private void onPage(Optional<LogPage> page, long sentMs) {
         try {
-            page.ifPresent(this::processPage);
+            page.ifPresent(read -> processPage(read, sentMs));
         } finally {
             mReadInProgress.set(false);
         }
@@ -73,7 +75,7 @@
         }
     }
 
-    private void processPage(LogPage page) {
+    private void processPage(LogPage page, long sentMs) {
         if (page.first() > mNextOffset) {
             if (mPageRead) {
                 sLog.warn("records {} to {} of the log were missed", mNextOffset, page.first());
@@ -88,7 +90,8 @@
             classifyRecord(page, item, views, bundles);
         }
         boolean atEnd = page.next() >= page.end();
-        LogBatch batch = new LogBatch(views, mFirstOffset, mNextOffset, page.nowMs(), atEnd);
+        LogBatch batch =
+                new LogBatch(views, mFirstOffset, mNextOffset, page.nowMs(), atEnd, sentMs);
         mEventSink.accept(new Event.LogRead(batch, bundles));
     }
 
--- a/entry/src/main/java/org/boragegap/entry/Setting.java
+++ b/entry/src/main/java/org/boragegap/entry/Setting.java
@@ -146,6 +146,13 @@
             "ms",
             "4000",
             "wait for a claim"),
+    CLAIM_LEASE_MS(
+            "claims",
+            "lease_ms",
+            SettingType.integer(1_000, 86_400_000),
+            "ms",
+            "900000",
+            "how long a VM that can't read the log goes on claiming"),
     RESEND_MS(
             "claims",
             "resend_ms",
--- a/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
+++ b/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
@@ -52,6 +52,8 @@
                         new ClaimMessage.Held(key, low, claim),
                         new ClaimMessage.Release(key, uid),
                         new ClaimMessage.ViewIs(view, complete, high, low, uid),
+                        new ClaimMessage.LogReadQuery(uid, high),
+                        new ClaimMessage.LogReadAge(uid, high, low),
                         new ClaimMessage.Join(),
                         new ClaimMessage.Leave(),
                         new ClaimMessage.Fetch(uid, low),
