A claim that waits past the id window is neither granted nor acknowledged

What callers saw: "not run" for a submission that had run, or a second start of it, when a copy came near the end of the id window and its claim waited for a view or for an acknowledgement.

Cause: the window was checked only when the submission came in. Claims are kept for the window and five times the clock skew; a claim that waits up to its timeout (4 s), or whose request reaches a paused member late, is looked up after the earlier claim has been dropped.

Change: the claimant looks again before each request; a member doesn't acknowledge an id that is older than the window by more than twice the skew, as it may have dropped a claim on it. Keeping claims longer was the other way: it only moves the limit, as a message can wait in a paused process for any time, and costs memory for each claim.

--- a/core/src/main/java/org/boragegap/core/claim/ClaimLimits.java
+++ b/core/src/main/java/org/boragegap/core/claim/ClaimLimits.java
@@ -34,6 +34,16 @@
         return idWindowMs + 5 * clockSkewMs;
     }
 
+    /**
+     * True when an earlier claim on an id of this creation time may no longer be kept here, so that
+     * this VM can't say that there is none. It allows twice the clock skew, for the clocks of the
+     * creator and of the claimant, and is never true for an id that the claimant found in its
+     * window.
+     */
+    public boolean mayBeForgotten(long createdMs, long wallMs) {
+        return createdMs < wallMs - idWindowMs - 2 * clockSkewMs;
+    }
+
     /** Age of a view's last statement at which its members stop using the view. */
     public long viewExpiryMs() {
         return logRetentionMs - logRetentionMs / 4;
--- a/core/src/main/java/org/boragegap/core/claim/ClaimProtocol.java
+++ b/core/src/main/java/org/boragegap/core/claim/ClaimProtocol.java
@@ -18,6 +18,8 @@
  * of states and events and the argument why no submission is granted to two members.
  */
 public final class ClaimProtocol {
+    private static final String OLDER_THAN_WINDOW = "the id is older than the id window";
+
     private static final class PendingClaim {
         private final Claim mClaim;
         private final long mRequestedMs;
@@ -109,7 +111,7 @@
     private Optional<ClaimOutcome> immediateOutcome(
             ClaimKey key, long createdMs, long fingerprint, ClockReading clock) {
         if (createdMs < clock.wallMs() - mLimits.idWindowMs()) {
-            return Optional.of(new ClaimOutcome.Unknown("the id is older than the id window"));
+            return Optional.of(new ClaimOutcome.Unknown(OLDER_THAN_WINDOW));
         }
         if (createdMs > clock.wallMs() + mLimits.clockSkewMs()) {
             return Optional.of(new ClaimOutcome.Unknown("the id's time is in the future"));
@@ -243,6 +245,10 @@
     private void requestAcknowledgements(
             PendingClaim pending, ClockReading clock, List<ClaimAction> out) {
         pending.mLastSentMs = clock.monotonicMs();
+        if (pending.mClaim.createdMs() < clock.wallMs() - mLimits.idWindowMs()) {
+            endWithoutGrant(pending, OLDER_THAN_WINDOW, out);
+            return;
+        }
         if (!mViews.canClaim(clock)) {
             return;
         }
@@ -309,6 +315,9 @@
 
     private void onRequest(
             Member from, ClaimMessage.Request request, ClockReading clock, List<ClaimAction> out) {
+        if (mLimits.mayBeForgotten(request.claim().createdMs(), clock.wallMs())) {
+            return;
+        }
         boolean sameView =
                 mViews.currentView().map(DomainView::uid).orElse(0L) == request.viewUid();
         if (!sameView || !mViews.canClaim(clock)) {
--- a/core/src/test/java/org/boragegap/core/claim/ClaimProtocolTest.java
+++ b/core/src/test/java/org/boragegap/core/claim/ClaimProtocolTest.java
@@ -146,6 +146,46 @@
         }
     }
 
+    @Nested
+    final class IdsThatGrowOldWhileTheirClaimsWait {
+        private static final long LIMIT_MS = 60_000;
+
+        private void keepViewStated(ClaimProtocol protocol, long ms) {
+            DomainView both = protocol.view().orElseThrow();
+            ViewRecord statement = ViewRecord.statement("fd", both, 1);
+            LoggedView logged = new LoggedView(ms, statement, WALL_MS + ms, 0);
+            LogBatch batch = new LogBatch(List.of(logged), 0, ms + 1, WALL_MS + ms, true);
+            protocol.onLog(batch, at(ms), new ArrayList<>());
+        }
+
+        private void keepViewsStated(long untilMs) {
+            for (long ms = 2; ms <= untilMs; ms += 5_000) {
+                keepViewStated(mA, ms);
+                keepViewStated(mB, ms);
+            }
+        }
+
+        /** Guards against a grant for an id whose earlier claim has been forgotten meanwhile. */
+        @Test
+        void aClaimThatWaitsPastTheIdWindowIsNotRepeated() {
+            keepViewsStated(LIMIT_MS);
+            assertThat(outcomes(requestClaim(mA, LIMIT_MS - 10))).isEmpty();
+            List<ClaimAction> out = new ArrayList<>();
+            mA.onTick(at(LIMIT_MS + LIMITS.resendMs()), out);
+            assertThat(outcomes(out).get(0)).isInstanceOf(ClaimOutcome.Unknown.class);
+        }
+
+        /** Guards against an acknowledgement by a member that has forgotten an earlier claim. */
+        @Test
+        void aRequestThatArrivesPastTheIdWindowIsNotAcknowledged() {
+            keepViewsStated(LIMIT_MS);
+            List<ClaimAction> requests = requestClaim(mA, LIMIT_MS - 10);
+            long forgottenMs = LIMIT_MS + 5 * LIMITS.clockSkewMs();
+            keepViewsStated(forgottenMs);
+            assertThat(deliver(A, mB, requests, forgottenMs)).isEmpty();
+        }
+    }
+
     @Nested
     final class ViewExpiry {
         /**
