A view ages while its read waits in a paused process and while the VM is suspended

What callers saw: one submission started by two VMs.

Cause: the age of a view's last statement was counted from when the read was handled, not sent, and by the monotonic clock alone. Either way a view seems younger than it is by the length of a pause, and its members go on past the log's retention.

Change: the time of a statement is that of sending the read, less its age; a suspension, which shows as a wall clock that ran ahead of the monotonic one by more than the clock skew, ages the last statement by its length and voids what was sent before it. SuspensionDetector serves the lease as well; it adds up short suspensions. Counting by the wall clock alone was the other way: a clock that is set back would make a view young.

MembershipPlanner is moved out of ViewManager, unchanged, for its size.

--- a/core/src/main/java/org/boragegap/core/claim/ClaimLease.java
+++ b/core/src/main/java/org/boragegap/core/claim/ClaimLease.java
@@ -19,15 +19,15 @@
 
     private final Member mSelf;
     private final ClaimLimits mLimits;
+    private final SuspensionDetector mSuspensions;
     private long mReadSentMs = NEVER;
-    private long mEarliestReadMs = NEVER;
-    private long mClockDifferenceMs = Long.MAX_VALUE / 2;
     private long mLastQueryMs = NEVER;
     private boolean mLapsed;
 
-    ClaimLease(Member self, ClaimLimits limits) {
+    ClaimLease(Member self, ClaimLimits limits, SuspensionDetector suspensions) {
         mSelf = self;
         mLimits = limits;
+        mSuspensions = suspensions;
     }
 
     /**
@@ -36,13 +36,13 @@
      * @param sentMs monotonic time at or before which the read was sent
      */
     void renew(long sentMs) {
-        if (sentMs >= mEarliestReadMs) {
+        if (!mSuspensions.precedesResumption(sentMs)) {
             mReadSentMs = Math.max(mReadSentMs, sentMs);
         }
     }
 
     boolean valid(ClockReading clock) {
-        return !monotonicClockStopped(clock) && readAgeMs(clock) < mLimits.claimLeaseMs();
+        return !mSuspensions.suspendedSinceTick(clock) && readAgeMs(clock) < mLimits.claimLeaseMs();
     }
 
     private long readAgeMs(ClockReading clock) {
@@ -50,11 +50,9 @@
     }
 
     void onTick(ClockReading clock, List<ClaimAction> out) {
-        if (monotonicClockStopped(clock)) {
+        if (mSuspensions.precedesResumption(mReadSentMs)) {
             mReadSentMs = NEVER;
-            mEarliestReadMs = clock.monotonicMs();
         }
-        mClockDifferenceMs = clock.wallMs() - clock.monotonicMs();
         if (mReadSentMs != NEVER && mLapsed == valid(clock)) {
             mLapsed = !mLapsed;
             String outcome = mLapsed ? "lapsed" : "valid";
@@ -99,13 +97,4 @@
     void onLogReadAge(ClaimMessage.LogReadAge age) {
         renew(age.querySentMs() - age.readAgeMs());
     }
-
-    /**
-     * True when the wall clock has advanced further than the monotonic clock since the last tick,
-     * as after a suspension of the whole VM. The ages of earlier reads are not known then.
-     */
-    private boolean monotonicClockStopped(ClockReading clock) {
-        long differenceMs = clock.wallMs() - clock.monotonicMs();
-        return differenceMs - mClockDifferenceMs > mLimits.clockSkewMs();
-    }
 }
--- a/core/src/main/java/org/boragegap/core/claim/ViewManager.java
+++ b/core/src/main/java/org/boragegap/core/claim/ViewManager.java
@@ -1,10 +1,8 @@
 package org.boragegap.core.claim;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -31,10 +29,11 @@
     private final LongSupplier mUids;
     private final ViewLog mLog;
     private final MemberHealth mHealth;
+    private final MembershipPlanner mPlanner;
+    private final SuspensionDetector mSuspensions;
     private final ClaimLease mLease;
     private Optional<DomainView> mFencedView = Optional.empty();
     private long mViewSinceMs;
-    private final Map<Member, Long> mJoinRequestMs = new HashMap<>();
     private final Set<Member> mPeersWithAllClaims = new HashSet<>();
     private boolean mHasAllClaims;
     private final Map<Member, Long> mPeerSentMs = new HashMap<>();
@@ -54,7 +53,9 @@
         mUids = uids;
         mLog = new ViewLog(limits.logRetentionMs());
         mHealth = new MemberHealth(limits.suspectMs());
-        mLease = new ClaimLease(self, limits);
+        mPlanner = new MembershipPlanner(self, limits.suspectMs(), mHealth);
+        mSuspensions = new SuspensionDetector(limits.clockSkewMs());
+        mLease = new ClaimLease(self, limits, mSuspensions);
     }
 
     Optional<DomainView> currentView() {
@@ -104,6 +105,7 @@
     private boolean established(ClockReading clock) {
         return mHasAllClaims
                 && inView()
+                && !mSuspensions.suspendedSinceTick(clock)
                 && clock.monotonicMs() - mLastStatedMs < mLimits.viewExpiryMs();
     }
 
@@ -112,13 +114,14 @@
         Optional<DomainView> before = currentView();
         mReadFromLogStart = batch.firstOffset() == 0;
         mLog.readFrom(batch.firstOffset(), batch.nowMs());
+        long sentMs = Math.min(batch.sentMs(), clock.monotonicMs());
         for (LoggedView logged : batch.views()) {
-            onViewRecord(logged, clock);
+            onViewRecord(logged, sentMs);
         }
         mLastReadOffset = batch.nextOffset() - 1;
         mAtLogEnd = batch.atEnd();
         if (batch.atEnd()) {
-            mLease.renew(Math.min(batch.sentMs(), clock.monotonicMs()));
+            mLease.renew(sentMs);
         }
         if (currentView().isEmpty() || currentView().equals(before)) {
             return false;
@@ -127,17 +130,27 @@
         return true;
     }
 
-    private void onViewRecord(LoggedView logged, ClockReading clock) {
+    private void onViewRecord(LoggedView logged, long sentMs) {
         if (!logged.record().domain().equals(mDomain)) {
             return;
         }
         mSawAnyRecord = true;
         mLog.forgetBefore(logged.appendedMs() - mLimits.logRetentionMs());
         if (mLog.apply(logged)) {
-            mLastStatedMs = clock.monotonicMs() - logged.ageMs();
+            mLastStatedMs = statedMs(logged, sentMs);
         }
     }
 
+    /**
+     * The time of a statement. Its age is that at the read, which may have waited here while this
+     * process was paused; if the VM was suspended as well, the age isn't known.
+     */
+    private long statedMs(LoggedView logged, long sentMs) {
+        return mSuspensions.precedesResumption(sentMs)
+                ? Long.MIN_VALUE / 2
+                : sentMs - logged.ageMs();
+    }
+
     /** Handles a peer's view; true when the current view changed. */
     boolean onViewIs(
             Member from, ClaimMessage.ViewIs message, ClockReading clock, List<ClaimAction> out) {
@@ -166,7 +179,10 @@
      */
     private void updateLastStated(ClaimMessage.ViewIs message) {
         boolean sameView = message.view().uid() == currentView().map(DomainView::uid).orElse(0L);
-        if (sameView && message.echoMs() != ClaimMessage.ViewIs.NO_ECHO) {
+        boolean aged =
+                message.echoMs() == ClaimMessage.ViewIs.NO_ECHO
+                        || mSuspensions.precedesResumption(message.echoMs());
+        if (sameView && !aged) {
             mLastStatedMs = Math.max(mLastStatedMs, message.echoMs() - message.statedAgeMs());
         }
     }
@@ -197,7 +213,7 @@
         boolean established = view.establishedMembers().contains(mSelf);
         mHasAllClaims = established && (mHasAllClaims || onlyEstablishedMember);
         mPeersWithAllClaims.clear();
-        mJoinRequestMs.keySet().removeAll(view.members());
+        mPlanner.onViewChanged(view);
         mHealth.onViewChanged(view, clock.monotonicMs());
         mPeerSentMs.keySet().retainAll(view.members());
         if (inView() && view.members().get(0).equals(mSelf) && mLog.currentFromLog()) {
@@ -240,7 +256,7 @@
         if (currentView().isPresent() && currentView().get().contains(from)) {
             return;
         }
-        mJoinRequestMs.put(from, clock.monotonicMs());
+        mPlanner.onJoin(from, clock.monotonicMs());
     }
 
     /** Called when all claims that the view covers have been fetched. */
@@ -250,6 +266,7 @@
 
     void onTick(ClockReading clock, List<ClaimAction> out) {
         mHealth.onTick(clock.monotonicMs());
+        mLastStatedMs -= mSuspensions.onTick(clock);
         mLease.onTick(clock, out);
         currentView()
                 .filter(view -> inView())
@@ -368,61 +385,13 @@
         if (statementDue && intervalPassed && fromLog) {
             restateView(clock, out);
         }
-        Set<Member> next = nextMembers(view, clock);
-        boolean myTurn =
-                clock.monotonicMs() - lastLeaderContactMs(view, clock)
-                        >= proposalDelayMs(view, clock);
-        if (!next.equals(new LinkedHashSet<>(view.members())) && myTurn) {
+        Set<Member> next = mPlanner.nextMembers(view, clock.monotonicMs());
+        boolean changed = !next.equals(Set.copyOf(view.members()));
+        if (changed && mPlanner.proposes(view, clock.monotonicMs())) {
             proposeNextView(view, next, clock, out);
         }
     }
 
-    private long lastLeaderContactMs(DomainView view, ClockReading clock) {
-        return unsuspectedMembers(view, clock).get(0).equals(mSelf)
-                ? clock.monotonicMs()
-                : mHealth.lastContactMs(
-                        unsuspectedMembers(view, clock).get(0), clock.monotonicMs());
-    }
-
-    /**
-     * How long this member waits before it proposes a view: not at all if it is the first
-     * unsuspected member, otherwise until that one has been silent for the suspect timeout.
-     */
-    private long proposalDelayMs(DomainView view, ClockReading clock) {
-        return unsuspectedMembers(view, clock).get(0).equals(mSelf) ? 0 : mLimits.suspectMs();
-    }
-
-    private List<Member> unsuspectedMembers(DomainView view, ClockReading clock) {
-        return view.members().stream()
-                .filter(member -> !suspected(member, clock))
-                .sorted(Comparator.comparing(Member::address))
-                .toList();
-    }
-
-    private boolean suspected(Member member, ClockReading clock) {
-        if (member.equals(mSelf)) {
-            return false;
-        }
-        return mHealth.departed(member) || mHealth.silent(member, clock.monotonicMs());
-    }
-
-    private Set<Member> nextMembers(DomainView view, ClockReading clock) {
-        Set<Member> next = new LinkedHashSet<>();
-        for (Member member : view.members()) {
-            if (!suspected(member, clock)) {
-                next.add(member);
-            }
-        }
-        mJoinRequestMs
-                .values()
-                .removeIf(requestMs -> clock.monotonicMs() - requestMs > mLimits.suspectMs());
-        for (Member joiner : mJoinRequestMs.keySet()) {
-            next.removeIf(member -> member.address().equals(joiner.address()));
-            next.add(joiner);
-        }
-        return next;
-    }
-
     private void proposeNextView(
             DomainView view, Set<Member> next, ClockReading clock, List<ClaimAction> out) {
         List<Member> newcomers = new ArrayList<>();
