A first view covers all ids only if the log was read just now

What callers saw: "not run" for a submission that had run.

Cause: whether a view is the first ever was judged by the last read, however old. A first view that comes after another has expired must cover only ids that are made from then on.

Change: the last read must be younger than a quarter of the log's retention, and the VM not suspended since. The append may take another quarter (readers ignore a later one), so a view that began after that read can't have expired by then, and readers ignore the first view.

--- a/core/src/main/java/org/boragegap/core/claim/ViewManager.java
+++ b/core/src/main/java/org/boragegap/core/claim/ViewManager.java
@@ -41,6 +41,7 @@
     private boolean mReadFromLogStart;
     private boolean mAtLogEnd;
     private long mLastReadOffset = -1;
+    private long mLastReadSentMs = Long.MIN_VALUE / 2;
     private long mLastStatedMs = Long.MIN_VALUE / 2;
     private long mLastProposalMs = Long.MIN_VALUE / 2;
     private long mLastRestatementMs = Long.MIN_VALUE / 2;
@@ -119,6 +120,7 @@
             onViewRecord(logged, sentMs);
         }
         mLastReadOffset = batch.nextOffset() - 1;
+        mLastReadSentMs = sentMs;
         mAtLogEnd = batch.atEnd();
         if (batch.atEnd()) {
             mLease.renew(sentMs);
@@ -290,13 +292,23 @@
         if (!mLog.empty()) {
             return;
         }
-        boolean firstEver = mReadFromLogStart && !mSawAnyRecord;
+        boolean firstEver = mReadFromLogStart && !mSawAnyRecord && lastReadIsRecent(clock);
         long coverageStartMs = firstEver ? DomainView.COVERS_ALL : coverageFromNow(clock);
         DomainView first =
                 DomainView.first(clock.wallMs(), mUids.getAsLong(), mSelf, coverageStartMs);
         propose("reason=first", first, clock, out);
     }
 
+    /**
+     * True when a view that began after the last read can't have expired before a view proposed now
+     * is appended; a reader then ignores the latter.
+     */
+    private boolean lastReadIsRecent(ClockReading clock) {
+        return !mSuspensions.suspendedSinceTick(clock)
+                && !mSuspensions.precedesResumption(mLastReadSentMs)
+                && clock.monotonicMs() - mLastReadSentMs < mLimits.logRetentionMs() / 4;
+    }
+
     /**
      * Coverage start of a view that begins without the earlier claims. Ids created up to this time
      * may have been claimed by members whose claims are lost; the factor of 3 allows for the skew
--- a/core/src/test/java/org/boragegap/core/claim/OldReadsTest.java
+++ b/core/src/test/java/org/boragegap/core/claim/OldReadsTest.java
@@ -52,4 +52,41 @@
             assertThat(mA.ready(resumed)).isFalse();
         }
     }
+
+    @Nested
+    final class OfAnEmptyLog {
+        private long coverageOfFirstView(ClockReading clock) {
+            List<ClaimAction> out = new ArrayList<>();
+            mA.onTick(clock, out);
+            return out.stream()
+                    .filter(ClaimAction.Append.class::isInstance)
+                    .map(action -> ((ClaimAction.Append) action).record().view())
+                    .findFirst()
+                    .orElseThrow()
+                    .coverageStartMs();
+        }
+
+        @Test
+        void theVeryFirstViewCoversAllIds() {
+            mA.onLog(batch(List.of(), 10), at(20), new ArrayList<>());
+            assertThat(coverageOfFirstView(at(30))).isEqualTo(DomainView.COVERS_ALL);
+        }
+
+        /** Guards against a first view that covers ids of views that came and went in a pause. */
+        @Test
+        void aFirstViewAfterALongPauseCoversNoEarlierIds() {
+            long laterMs = LIMITS.logRetentionMs();
+            mA.onLog(batch(List.of(), 10), at(laterMs), new ArrayList<>());
+            assertThat(coverageOfFirstView(at(laterMs))).isGreaterThan(WALL_MS + laterMs);
+        }
+
+        /** The same after a suspension of the VM. */
+        @Test
+        void aFirstViewAfterASuspensionCoversNoEarlierIds() {
+            mA.onTick(at(0), new ArrayList<>());
+            mA.onLog(batch(List.of(), 10), at(10), new ArrayList<>());
+            ClockReading resumed = new ClockReading(20, WALL_MS + LIMITS.logRetentionMs());
+            assertThat(coverageOfFirstView(resumed)).isGreaterThan(resumed.wallMs());
+        }
+    }
 }
