Only lists that were read count towards a VM's absence

What callers saw: ids of a failure domain in doubt though its VMs were well. One list that lacked a VM, and no list that could be read for a minute after it, counted as a minute of absence: a single wrong answer before an outage of the list, and a cut, presumed the VM dead.

Cause: EntryVms compared the time of the first list that lacked the VM with the current time. Now with the time of the last list. UnlistedVmsTest.Absence.oneListFollowedByNoneIsNoAbsence failed before.

--- a/core/src/main/java/org/boragegap/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/Dispatcher.java
@@ -304,7 +304,7 @@
     }
 
     private void onTick(ClockReading clock, List<Action> out) {
-        mClaims.onVmsUnlisted(mEntryVms.unlistedFor(mLimits.unlistedMs(), clock.monotonicMs()));
+        mClaims.onVmsUnlisted(mEntryVms.unlistedFor(mLimits.unlistedMs()));
         mClaims.onTick(clock, mClaimActions);
         mJobs.onTick(clock, out);
         mRouter.onTick(clock, out);
--- a/core/src/main/java/org/boragegap/core/dispatch/EntryVms.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/EntryVms.java
@@ -22,9 +22,11 @@
     private final Map<String, List<String>> mByDomain = new HashMap<>();
     private final Map<String, Long> mUnreachableUntilMs = new HashMap<>();
     private final Map<String, Long> mUnlistedSinceMs = new HashMap<>();
+    private long mLastListMs;
     private int mNextIndex;
 
     void onListed(List<ListedVm> vms, long nowMs) {
+        mLastListMs = nowMs;
         Set<String> before = new HashSet<>();
         mByDomain.values().forEach(before::addAll);
         mByDomain.clear();
@@ -44,11 +46,14 @@
         mUnlistedSinceMs.keySet().removeAll(listed);
     }
 
-    /** VMs that were listed before and have been missing from the list for at least this long. */
-    Set<String> unlistedFor(long minMs, long nowMs) {
+    /**
+     * VMs that were listed before and that all lists of at least this long have lacked. Time after
+     * the last list doesn't count.
+     */
+    Set<String> unlistedFor(long minMs) {
         Set<String> unlisted = new HashSet<>();
         for (Map.Entry<String, Long> entry : mUnlistedSinceMs.entrySet()) {
-            if (nowMs - entry.getValue() >= minMs) {
+            if (mLastListMs - entry.getValue() >= minMs) {
                 unlisted.add(entry.getKey());
             }
         }
