VMs that were listed as leaving, or never here, count as unlisted

What callers saw: ids of a failure domain stayed in doubt for as long as the log keeps records (an hour) after its last VM had gone, instead of a minute. A VM counted as unlisted only if the same process had once seen it listed and not leaving. A VM that is replaced is listed as leaving before it goes, and a VM that starts after the last member has gone never sees it listed: neither took the view over.

Change: a member of the view counts as unlisted when all lists of a minute have lacked it; for one that this process never saw listed the minute begins with its first list. Presuming too much costs little since the fence: a live member goes on with its claims.

--- a/core/src/main/java/org/boragegap/core/claim/ClaimProtocol.java
+++ b/core/src/main/java/org/boragegap/core/claim/ClaimProtocol.java
@@ -208,9 +208,9 @@
     }
 
     /**
-     * Handles VMs that have been missing from the platform's list for a while.
+     * Handles members of the view that have been missing from the platform's list for a while.
      *
-     * @param addresses peer addresses of all such VMs; replaces the earlier ones
+     * @param addresses peer addresses of all such members; replaces the earlier ones
      */
     public void onVmsUnlisted(Set<String> addresses) {
         mViews.onVmsUnlisted(addresses);
--- a/core/src/main/java/org/boragegap/core/claim/ViewManager.java
+++ b/core/src/main/java/org/boragegap/core/claim/ViewManager.java
@@ -234,8 +234,8 @@
     }
 
     /**
-     * Handles VMs that were listed before and have been missing from the platform's list for a
-     * while. The list may be wrong, so it counts only for members that are also silent.
+     * Handles VMs that have been missing from the platform's list for a while. The list may be
+     * wrong, so it counts only for members that are also silent.
      */
     void onVmsUnlisted(Set<String> addresses) {
         Set<Member> unlisted = new HashSet<>();
--- a/core/src/main/java/org/boragegap/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/Dispatcher.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.boragegap.core.ClockReading;
 import org.boragegap.core.bundle.BundleChain;
 import org.boragegap.core.claim.ClaimAction;
@@ -304,7 +305,7 @@
     }
 
     private void onTick(ClockReading clock, List<Action> out) {
-        mClaims.onVmsUnlisted(mEntryVms.unlistedFor(mLimits.unlistedMs()));
+        mClaims.onVmsUnlisted(unlistedMembers());
         mClaims.onTick(clock, mClaimActions);
         mJobs.onTick(clock, out);
         mRouter.onTick(clock, out);
@@ -312,6 +313,13 @@
         advanceDrain(clock, out);
     }
 
+    private Set<String> unlistedMembers() {
+        return mClaims.view().map(DomainView::members).orElse(List.of()).stream()
+                .map(Member::address)
+                .filter(address -> mEntryVms.unlistedFor(address, mLimits.unlistedMs()))
+                .collect(Collectors.toSet());
+    }
+
     private void advanceDrain(ClockReading clock, List<Action> out) {
         if (!mDrain.active() || mDrain.reported()) {
             return;
--- a/core/src/main/java/org/boragegap/core/dispatch/EntryVms.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/EntryVms.java
@@ -18,46 +18,50 @@
  */
 final class EntryVms {
     private static final long UNREACHABLE_BACKOFF_MS = 2_000;
+    private static final long ABSENCE_KEPT_MS = 3_600_000;
 
     private final Map<String, List<String>> mByDomain = new HashMap<>();
     private final Map<String, Long> mUnreachableUntilMs = new HashMap<>();
     private final Map<String, Long> mUnlistedSinceMs = new HashMap<>();
+    private final Set<String> mListed = new HashSet<>();
+    private boolean mListRead;
+    private long mFirstListMs;
     private long mLastListMs;
     private int mNextIndex;
 
     void onListed(List<ListedVm> vms, long nowMs) {
+        if (!mListRead) {
+            mListRead = true;
+            mFirstListMs = nowMs;
+        }
         mLastListMs = nowMs;
-        Set<String> before = new HashSet<>();
-        mByDomain.values().forEach(before::addAll);
         mByDomain.clear();
-        Set<String> listed = new HashSet<>();
+        Set<String> before = Set.copyOf(mListed);
+        mListed.clear();
         for (ListedVm vm : vms) {
             if (vm.kind() == VmKind.ENTRY) {
-                listed.add(vm.address());
+                mListed.add(vm.address());
             }
             if (vm.kind() == VmKind.ENTRY && !vm.leaving()) {
                 mByDomain.computeIfAbsent(vm.domain(), name -> new ArrayList<>()).add(vm.address());
             }
         }
-        before.removeAll(listed);
         for (String address : before) {
             mUnlistedSinceMs.putIfAbsent(address, nowMs);
         }
-        mUnlistedSinceMs.keySet().removeAll(listed);
+        mUnlistedSinceMs.keySet().removeAll(mListed);
+        mUnlistedSinceMs.values().removeIf(sinceMs -> nowMs - sinceMs > ABSENCE_KEPT_MS);
     }
 
     /**
-     * VMs that were listed before and that all lists of at least this long have lacked. Time after
-     * the last list doesn't count.
+     * True when all lists of at least this long have lacked the VM, whether or not it was listed
+     * before. Time after the last list doesn't count.
      */
-    Set<String> unlistedFor(long minMs) {
-        Set<String> unlisted = new HashSet<>();
-        for (Map.Entry<String, Long> entry : mUnlistedSinceMs.entrySet()) {
-            if (mLastListMs - entry.getValue() >= minMs) {
-                unlisted.add(entry.getKey());
-            }
+    boolean unlistedFor(String address, long minMs) {
+        if (!mListRead || mListed.contains(address)) {
+            return false;
         }
-        return unlisted;
+        return mLastListMs - mUnlistedSinceMs.getOrDefault(address, mFirstListMs) >= minMs;
     }
 
     void onUnreachable(String address, long nowMs) {
--- a/core/src/test/java/org/boragegap/core/dispatch/UnlistedVmsTest.java
+++ b/core/src/test/java/org/boragegap/core/dispatch/UnlistedVmsTest.java
@@ -88,4 +88,30 @@
             assertThat(viewProposed()).isTrue();
         }
     }
+
+    @Nested
+    final class UnknownVms {
+        private void listOnlySelf() {
+            for (long ms = 1_000; ms <= 1_000 + LIMITS.unlistedMs(); ms += 1_000) {
+                list(ms, entry(C, false));
+            }
+            tickUntil(LIMITS.unlistedMs(), 2_000 + LIMITS.unlistedMs());
+        }
+
+        /** Guards against a view never being replaced whose last member was listed as leaving. */
+        @Test
+        void aVmThatWasListedAsLeavingIsUnlistedWhenItIsGone() {
+            list(0, entry(A, true), entry(C, false));
+            listOnlySelf();
+            assertThat(viewProposed()).isTrue();
+        }
+
+        /** Guards against a view never being replaced by a VM that starts after its members. */
+        @Test
+        void aVmThatWasGoneBeforeTheFirstListIsUnlisted() {
+            list(0, entry(C, false));
+            listOnlySelf();
+            assertThat(viewProposed()).isTrue();
+        }
+    }
 }
