The last VM that leaves a failure domain releases its view

What callers would see: when all VMs of a failure domain are replaced in good order at other addresses, ids of that domain stay in doubt until the new VMs may presume the old ones dead: 64 s before, 975 s with the fence (arithmetic from the limits).

Change: a VM that has finished its drain and is the only member of its view proposes a view without members, and grants nothing from then on; whoever reads it takes over at once. Two that leave together end the same way: one is left alone first. The process waits up to a second for the append's answer. If the append is lost, the fence decides as before.

--- a/core/src/main/java/org/boragegap/core/claim/ClaimProtocol.java
+++ b/core/src/main/java/org/boragegap/core/claim/ClaimProtocol.java
@@ -159,9 +159,13 @@
         sendToOthers(new ClaimMessage.Release(claim.key(), claim.attempt()), out);
     }
 
-    /** Asks the other members for a view without this one. Called once all work is done. */
-    public void leave(List<ClaimAction> out) {
+    /**
+     * Asks the other members for a view without this one, or records that the last member has left.
+     * Called once all work is done; no claim is made after it.
+     */
+    public void leave(ClockReading clock, List<ClaimAction> out) {
         sendToOthers(new ClaimMessage.Leave(), out);
+        mViews.leave(clock, out);
     }
 
     /** True when this member is the only one in its view, or is in no view. */
--- a/core/src/main/java/org/boragegap/core/claim/DomainView.java
+++ b/core/src/main/java/org/boragegap/core/claim/DomainView.java
@@ -11,7 +11,8 @@
  *     proposal
  * @param uid random identifier of this view
  * @param parentUid uid of the view that it follows, or {@link #NO_PARENT}
- * @param members all members; a claim needs the acknowledgement of each of them
+ * @param members all members; a claim needs the acknowledgement of each of them. None if the last
+ *     one has left: any VM may then follow at once
  * @param newcomers members that did not hold the parent's claims and must fetch them
  * @param coverageStartMs ids created up to this time may have been claimed without this view's
  *     members knowing
@@ -97,7 +98,7 @@
      * any VM once all members of the parent have stopped.
      */
     public boolean isFence() {
-        return establishedMembers().isEmpty();
+        return !members.isEmpty() && establishedMembers().isEmpty();
     }
 
     /** The member at this address, if any. */
--- a/core/src/main/java/org/boragegap/core/claim/ViewManager.java
+++ b/core/src/main/java/org/boragegap/core/claim/ViewManager.java
@@ -31,18 +31,20 @@
     private final MemberHealth mHealth;
     private final MembershipPlanner mPlanner;
     private final SuspensionDetector mSuspensions;
+    private final StatementTime mStatementTime;
     private final ClaimLease mLease;
     private Optional<DomainView> mFencedView = Optional.empty();
     private long mViewSinceMs;
     private final Set<Member> mPeersWithAllClaims = new HashSet<>();
     private boolean mHasAllClaims;
+    private boolean mLeaving;
+    private boolean mReleased;
     private final Map<Member, Long> mPeerSentMs = new HashMap<>();
     private boolean mSawAnyRecord;
     private boolean mReadFromLogStart;
     private boolean mAtLogEnd;
     private long mLastReadOffset = -1;
     private long mLastReadSentMs = Long.MIN_VALUE / 2;
-    private long mLastStatedMs = Long.MIN_VALUE / 2;
     private long mLastProposalMs = Long.MIN_VALUE / 2;
     private long mLastRestatementMs = Long.MIN_VALUE / 2;
     private long mLastHeartbeatMs = Long.MIN_VALUE / 2;
@@ -56,6 +58,7 @@
         mHealth = new MemberHealth(limits.suspectMs());
         mPlanner = new MembershipPlanner(self, limits.suspectMs(), mHealth);
         mSuspensions = new SuspensionDetector(limits.clockSkewMs());
+        mStatementTime = new StatementTime(mSuspensions);
         mLease = new ClaimLease(self, limits, mSuspensions);
     }
 
@@ -73,7 +76,7 @@
 
     /** True when this member may claim and acknowledge. */
     boolean canClaim(ClockReading clock) {
-        return established(clock) && mLease.valid(clock);
+        return established(clock) && mLease.valid(clock) && !mReleased;
     }
 
     /** True when this member could claim but for its lease. */
@@ -107,7 +110,7 @@
         return mHasAllClaims
                 && inView()
                 && !mSuspensions.suspendedSinceTick(clock)
-                && clock.monotonicMs() - mLastStatedMs < mLimits.viewExpiryMs();
+                && mStatementTime.ageMs(clock) < mLimits.viewExpiryMs();
     }
 
     /** Handles a read of the log; true when the current view changed. */
@@ -139,20 +142,10 @@
         mSawAnyRecord = true;
         mLog.forgetBefore(logged.appendedMs() - mLimits.logRetentionMs());
         if (mLog.apply(logged)) {
-            mLastStatedMs = statedMs(logged, sentMs);
+            mStatementTime.onRead(logged, sentMs);
         }
     }
 
-    /**
-     * The time of a statement. Its age is that at the read, which may have waited here while this
-     * process was paused; if the VM was suspended as well, the age isn't known.
-     */
-    private long statedMs(LoggedView logged, long sentMs) {
-        return mSuspensions.precedesResumption(sentMs)
-                ? Long.MIN_VALUE / 2
-                : sentMs - logged.ageMs();
-    }
-
     /** Handles a peer's view; true when the current view changed. */
     boolean onViewIs(
             Member from, ClaimMessage.ViewIs message, ClockReading clock, List<ClaimAction> out) {
@@ -160,47 +153,36 @@
         Optional<DomainView> before = currentView();
         boolean changed = mLog.adopt(message.view());
         if (changed) {
-            mLastStatedMs = Long.MIN_VALUE / 2;
+            mStatementTime.clear();
+        }
+        boolean sameView = isCurrent(message.view().uid());
+        if (sameView) {
+            mStatementTime.onPeer(message);
         }
-        updateLastStated(message);
         if (changed) {
             onViewChanged("peer " + from.address(), before, clock, out);
         }
-        boolean sameView = message.view().uid() == currentView().map(DomainView::uid).orElse(0L);
         if (sameView && message.complete()) {
             mPeersWithAllClaims.add(from);
         }
         return changed;
     }
 
-    /**
-     * Updates the time of the last statement from a peer, for a VM that can reach its peers but not
-     * the log. The message may have been queued while this process was paused. It was sent after
-     * the local time that it echoes, so subtracting the age from that time never makes the
-     * statement look younger than it is.
-     */
-    private void updateLastStated(ClaimMessage.ViewIs message) {
-        boolean sameView = message.view().uid() == currentView().map(DomainView::uid).orElse(0L);
-        boolean aged =
-                message.echoMs() == ClaimMessage.ViewIs.NO_ECHO
-                        || mSuspensions.precedesResumption(message.echoMs());
-        if (sameView && !aged) {
-            mLastStatedMs = Math.max(mLastStatedMs, message.echoMs() - message.statedAgeMs());
-        }
-    }
-
     /** Sends the current view to a peer, if there is one. */
     void sendView(Member to, ClockReading clock, List<ClaimAction> out) {
         currentView().ifPresent(view -> out.add(viewMessage(view, to, clock)));
     }
 
     private ClaimAction viewMessage(DomainView view, Member to, ClockReading clock) {
-        long statedAgeMs = clock.monotonicMs() - mLastStatedMs;
         long echoMs = mPeerSentMs.getOrDefault(to, ClaimMessage.ViewIs.NO_ECHO);
         return new ClaimAction.Send(
                 to.address(),
                 new ClaimMessage.ViewIs(
-                        view, mHasAllClaims, statedAgeMs, clock.monotonicMs(), echoMs));
+                        view,
+                        mHasAllClaims,
+                        mStatementTime.ageMs(clock),
+                        clock.monotonicMs(),
+                        echoMs));
     }
 
     private void onViewChanged(
@@ -247,6 +229,31 @@
         mHealth.setUnlisted(unlisted);
     }
 
+    /** Makes this member leave its view, also if it becomes the only one later. */
+    void leave(ClockReading clock, List<ClaimAction> out) {
+        mLeaving = true;
+        if (alone()) {
+            release(clock, out);
+        }
+    }
+
+    private boolean alone() {
+        return mHasAllClaims
+                && currentView().map(DomainView::members).equals(Optional.of(List.of(mSelf)));
+    }
+
+    /**
+     * Proposes a view without members, so that the VM that comes next needn't presume this one dead
+     * and wait. This member grants nothing more, whether or not the proposal takes effect.
+     */
+    private void release(ClockReading clock, List<ClaimAction> out) {
+        mReleased = true;
+        DomainView view = currentView().orElseThrow();
+        DomainView next =
+                view.successor(mUids.getAsLong(), List.of(), List.of(), view.coverageStartMs());
+        propose("reason=release", next, clock, out);
+    }
+
     /** A member that leaves has finished its work and makes no more claims. */
     void onLeave(Member from) {
         if (currentView().isPresent() && currentView().get().contains(from)) {
@@ -268,7 +275,7 @@
 
     void onTick(ClockReading clock, List<ClaimAction> out) {
         mHealth.onTick(clock.monotonicMs());
-        mLastStatedMs -= mSuspensions.onTick(clock);
+        mStatementTime.addSuspension(mSuspensions.onTick(clock));
         mLease.onTick(clock, out);
         currentView()
                 .filter(view -> inView())
@@ -280,6 +287,8 @@
             endFence(clock, out);
         } else if (currentView().isPresent() && !(inView() && mHasAllClaims)) {
             takeOverIfOthersDead(clock, out);
+        } else if (mLeaving && alone()) {
+            release(clock, out);
         } else if (established(clock)) {
             maintainView(clock, out);
         }
@@ -390,7 +399,7 @@
 
     private void maintainView(ClockReading clock, List<ClaimAction> out) {
         DomainView view = currentView().orElseThrow();
-        boolean statementDue = clock.monotonicMs() - mLastStatedMs >= mLimits.restateAfterMs();
+        boolean statementDue = mStatementTime.ageMs(clock) >= mLimits.restateAfterMs();
         boolean fromLog = mLog.currentFromLog();
         boolean intervalPassed =
                 clock.monotonicMs() - mLastRestatementMs >= mLimits.restateAfterMs() / 8;
--- a/core/src/main/java/org/boragegap/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/boragegap/core/dispatch/Dispatcher.java
@@ -333,7 +333,7 @@
             return;
         }
         if (mDrain.startLeaving(clock.monotonicMs())) {
-            mClaims.leave(mClaimActions);
+            mClaims.leave(clock, mClaimActions);
         }
         if (overdue || mClaims.hasNoSiblings() || mDrain.leaveTimedOut(clock.monotonicMs())) {
             out.add(mDrain.report(answeredCount()));
--- a/core/src/test/java/org/boragegap/core/claim/FenceTest.java
+++ b/core/src/test/java/org/boragegap/core/claim/FenceTest.java
@@ -222,4 +222,41 @@
                     .hasValue(new ClaimOutcome.Granted());
         }
     }
+
+    @Nested
+    final class OfTheLastMember {
+        private DomainView release() {
+            read(mB, 2, PAIR.successor(8, List.of(B), List.of(), 0), 20);
+            List<ClaimAction> out = new ArrayList<>();
+            mB.leave(at(30), out);
+            return proposal(out).orElseThrow();
+        }
+
+        /** Guards against new VMs waiting for a domain whose VMs have all left in good order. */
+        @Test
+        void aVmThatComesAfterItClaimsAtOnce() {
+            DomainView released = release();
+            assertThat(released.members()).isEmpty();
+            read(mC, 2, PAIR.successor(8, List.of(B), List.of(), 0), 40);
+            read(mC, 3, released, 50);
+            DomainView next = proposal(tickUntil(mC, 50, 50)).orElseThrow();
+            read(mC, 4, next, 60);
+            assertThat(outcome(request(mC, "job", 1_000))).hasValue(new ClaimOutcome.Granted());
+        }
+
+        /** Guards against a grant by a member whose release may already be on the log. */
+        @Test
+        void itGrantsNothingOnceItHasLeft() {
+            release();
+            assertThat(outcome(request(mB, "job", 40))).isEmpty();
+        }
+
+        /** Guards against two VMs that leave together leaving their view to nobody. */
+        @Test
+        void aMemberThatIsLeftAloneWhileItLeavesReleasesTheView() {
+            mB.leave(at(10), new ArrayList<>());
+            read(mB, 2, PAIR.successor(8, List.of(B), List.of(), 0), 20);
+            assertThat(proposal(tickUntil(mB, 30, 30)).orElseThrow().members()).isEmpty();
+        }
+    }
 }
--- a/core/src/test/java/org/boragegap/core/dispatch/History.java
+++ b/core/src/test/java/org/boragegap/core/dispatch/History.java
@@ -233,7 +233,7 @@
     }
 
     /** Delivers an event to a VM; a paused VM handles it when it resumes. */
-    private void deliver(FakeVm vm, Event event) {
+    void deliver(FakeVm vm, Event event) {
         if (!vm.mAlive) {
             return;
         }
@@ -269,6 +269,8 @@
             start(vm, start);
         } else if (action instanceof Action.Reply reply) {
             reply(vm, reply);
+        } else if (action instanceof Action.ReportDrained) {
+            mFailures.drained(vm);
         } else if (action instanceof Action.Log log) {
             mDecisions.add(mNowMs - START_MS + " " + vm.mMember + " " + log);
         }
--- a/core/src/test/java/org/boragegap/core/dispatch/HistoryFailures.java
+++ b/core/src/test/java/org/boragegap/core/dispatch/HistoryFailures.java
@@ -9,6 +9,7 @@
 /** Draws the failures of a {@link History} and holds the cuts that are in effect. */
 final class HistoryFailures {
     private static final long LIST_LAG_MS = 2_000;
+    private static final long DRAIN_MS = 4_000;
 
     private final History mHistory;
     private final boolean mListUnreliable;
@@ -46,7 +47,7 @@
     }
 
     private void injectFailure() {
-        int kind = mHistory.randomIndex(mListUnreliable ? 10 : 6);
+        int kind = mHistory.randomIndex(mListUnreliable ? 11 : 6);
         switch (kind) {
             case 0 -> replace(mHistory.randomVm());
             case 1 -> pause(mHistory.randomVm());
@@ -60,7 +61,8 @@
             case 6 -> omit(List.of(mHistory.randomVm()), 6_000 + mHistory.random(20_000));
             case 7 -> omitAndCut(mHistory.randomVm(), mHistory.randomVm());
             case 8 -> isolate(randomDomain());
-            default -> replaceAll(randomDomain());
+            case 9 -> replaceAll(randomDomain());
+            default -> drainAll(randomDomain());
         }
     }
 
@@ -117,6 +119,25 @@
         mHistory.at(LIST_LAG_MS, () -> ended.forEach(vm -> mList.remove(vm.mMember.address())));
     }
 
+    /** Makes all VMs of a failure domain leave and starts one at another address. */
+    private void drainAll(int domain) {
+        List<FakeVm> leaving = vmsOf(domain);
+        for (FakeVm vm : leaving) {
+            long delayMs = mHistory.random(3_000);
+            mHistory.at(delayMs, () -> mHistory.deliver(vm, new Event.DrainRequested(DRAIN_MS)));
+        }
+        long startMs = mHistory.random(6_000);
+        mHistory.at(
+                startMs,
+                () -> mHistory.startVm("vm" + domain + "z" + mHistory.nextNumber() + ":1", domain));
+    }
+
+    /** Ends a VM that has left. */
+    void drained(FakeVm vm) {
+        vm.mAlive = false;
+        mHistory.at(LIST_LAG_MS, () -> mList.remove(vm.mMember.address()));
+    }
+
     /** Kills the VM's process and starts a new one at the same address later. */
     private void replace(FakeVm vm) {
         vm.mAlive = false;
--- a/entry/src/main/java/org/boragegap/entry/ActionRunner.java
+++ b/entry/src/main/java/org/boragegap/entry/ActionRunner.java
@@ -1,7 +1,12 @@
 package org.boragegap.entry;
 
 import java.util.concurrent.Executor;
+import java.util.concurrent.Phaser;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.boragegap.core.bundle.BundleRecord;
 import org.boragegap.core.cell.Decision;
 import org.boragegap.core.claim.Member;
@@ -28,11 +33,14 @@
      */
     private static final long CLOCK_TOLERANCE_MS = 2_000;
 
+    private static final Logger sLog = LogManager.getLogger(ActionRunner.class);
+
     private final Member mSelf;
     private final TargetClient mTargets;
     private final LogClient mLog;
     private final PeerTransport mPeers;
     private final Executor mNetworkExecutor;
+    private final Phaser mAppends = new Phaser(1);
     private CallerApi mCallerApi;
     private LogPoller mLogPoller;
     private Consumer<Event> mEventSink;
@@ -113,7 +121,23 @@
     }
 
     private void appendToLog(LogEntry entry) {
-        mLog.append(entry, acknowledged -> mLogPoller.poll());
+        mAppends.register();
+        mLog.append(
+                entry,
+                acknowledged -> {
+                    mAppends.arriveAndDeregister();
+                    mLogPoller.poll();
+                });
+    }
+
+    /** Waits until all appends so far are answered, at most for the given time. */
+    void awaitAppends(long timeoutMs) throws InterruptedException {
+        int phase = mAppends.arrive();
+        try {
+            mAppends.awaitAdvanceInterruptibly(phase, timeoutMs, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            sLog.warn("an append to the log was not answered within {} ms", timeoutMs);
+        }
     }
 
     private String owner() {
--- a/entry/src/main/java/org/boragegap/entry/EntryService.java
+++ b/entry/src/main/java/org/boragegap/entry/EntryService.java
@@ -58,6 +58,7 @@
     private final ExecutorService mNetworkExecutor;
     private final ScheduledExecutorService mTimer =
             Executors.newSingleThreadScheduledExecutor(task -> newDaemonThread(task, "timer"));
+    private final ActionRunner mRunner;
     private final CountDownLatch mDrained = new CountDownLatch(1);
     private final AtomicReference<Action.ReportDrained> mDrainSummary = new AtomicReference<>();
 
@@ -80,15 +81,15 @@
         LogClient log = LogClient.create(mHttp, settings.text(Setting.LOG_ADDRESS));
         mVmList = VmListClient.create(mHttp, settings.text(Setting.VM_LIST_ADDRESS));
         TargetClient targets = TargetClient.create(mHttp);
-        ActionRunner runner = new ActionRunner(mSelf, targets, log, mPeers, mNetworkExecutor);
-        mLoop = new ControlLoop(newDispatcher(), runner);
+        mRunner = new ActionRunner(mSelf, targets, log, mPeers, mNetworkExecutor);
+        mLoop = new ControlLoop(newDispatcher(), mRunner);
         mLogPoller =
                 new LogPoller(
                         log, mChecker, mLoop::post, mTimer, settings.number(Setting.LOG_POLL_MS));
         JobBodyParser reader =
                 new JobBodyParser(settings.number(Setting.TASKS_PER_JOB), this::mintId);
         mCallerApi = new CallerApi(reader, mLoop, mStatusLookup);
-        runner.connect(mCallerApi, mLogPoller, mLoop::post, this::onDrained);
+        mRunner.connect(mCallerApi, mLogPoller, mLoop::post, this::onDrained);
         mStatusLookup.connect(mLoop, mPeers);
         BundleApi bundles = new BundleApi(log, mChecker, mTimer, mLoop, mLogPoller);
         OperatorApi operators =
@@ -219,11 +220,12 @@
     }
 
     /**
-     * Waits until the drain is over, then for up to about two seconds until its answers have been
-     * sent.
+     * Waits until the drain is over, then for up to about three seconds until its last record is on
+     * the log and its answers have been sent.
      */
     public void awaitDrained() throws InterruptedException {
         mDrained.await();
+        mRunner.awaitAppends(FLUSH_TIMEOUT_MS);
         mNetworkExecutor.shutdown();
         mNetworkExecutor.awaitTermination(1, TimeUnit.SECONDS);
         mCallerEndpoint.drain(FLUSH_TIMEOUT_MS);
