A VM without a controller answers in doubt instead of refusing

What callers saw: 429, "never runs", for a job that had started. Its connection to one VM broke after that VM had offered the job; the caller sent it again to another VM, which heard no controller or was stopping, and which refused as it knew of no offer.

Cause: a VM's own record of offers was taken for all that there were. Only a controller knows that a job has not run.

Change: the answer of such a VM is in doubt (504), unless a controller has refused the job to it. The caller sends the same id again, to any VM, and it remains one job.

Both new tests of FalseRefusalTest fail without the change. PendingJobsTest.Refusing asserted the refusals and now asserts the doubt, at the same times: a VM can't know what they said. FalseRefusalTest.aJobOfferedLongAgoIsForgotten saw the forgotten record by a refusal, and now sees it by the count of controllers in the next offer.

The way not taken, asking all other VMs before a refusal, needs each of them to answer within 250 ms and promises nothing in a cut.

--- a/core/src/main/java/org/boragegap/core/cell/PendingJobs.java
+++ b/core/src/main/java/org/boragegap/core/cell/PendingJobs.java
@@ -21,7 +21,7 @@
      */
     private static final long CONTROLLER_WAIT_MS = 250;
 
-    /** Retry delay for a caller that was refused because no controller is known, in ms. */
+    /** Retry delay for a caller whose job a controller has refused before, in ms. */
     private static final long RETRY_AFTER_MS = 1_000;
 
     /**
@@ -65,21 +65,23 @@
      *
      * @param controllers number of controllers
      * @param fence fencing token of the last one
+     * @param refused whether a controller has refused the job since the last offer
      */
-    private record OfferHistory(int controllers, long fence) {
-        static final OfferHistory NONE = new OfferHistory(0, 0);
+    private record OfferHistory(int controllers, long fence, boolean refused) {
+        static final OfferHistory NONE = new OfferHistory(0, 0, false);
+        static final OfferHistory REFUSED = new OfferHistory(0, 0, true);
 
         OfferHistory withOfferTo(long newFence) {
-            return newFence == fence ? this : new OfferHistory(controllers + 1, newFence);
+            return newFence == fence ? this : new OfferHistory(controllers + 1, newFence, false);
         }
 
         /**
-         * Verdict for a caller for whom the job will not be offered to a controller. The job is
-         * declined if no earlier offer of it is on record; otherwise it may have run, and the
-         * verdict is in doubt.
+         * Verdict for a caller for whom the job will not be offered to a controller. Only a
+         * controller knows that a job has not run: the caller may have submitted it to another VM
+         * before, which has offered it.
          */
         Verdict refusal(String reason) {
-            return controllers == 0
+            return refused
                     ? new Verdict.Declined(reason, RETRY_AFTER_MS)
                     : new Verdict.InDoubt(reason);
         }
@@ -288,7 +290,7 @@
         }
         mPending.remove(event.job());
         if (event.verdict() instanceof Verdict.Declined) {
-            mOfferHistories.forget(event.job());
+            mOfferHistories.remember(event.job(), OfferHistory.REFUSED, mNowMs);
         }
         for (Caller caller : pending.mCallers) {
             reply(caller, event.job(), event.verdict());
