Cell histories judge each refusal at its moment; what fails is listed

An oracle for "a job is told as never run only if none of its tasks has started", which the histories asked only of jobs all of whose submissions were refused.

--- a/core/src/test/java/org/boragegap/core/cell/CellHistoriesProperties.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistoriesProperties.java
@@ -83,6 +83,13 @@
         assertHolds(seed, CellHistory::playMassCrashes);
     }
 
+    /** Guards against a caller being told that its job never runs when a task of it has started. */
+    @Property(tries = 500, seed = "17")
+    void noJobIsRefusedAfterATaskHasStarted(@ForAll long seed) {
+        CellHistory history = assertHolds(seed, CellHistory::play);
+        assertWithMessage("seed %s", seed).that(history.mInvariants.falseRefusals()).isEmpty();
+    }
+
     /**
      * Seeds that once violated a guarantee, each for a reason of its own: a refusal by a later term
      * of the same VM; a job submitted again beside a run on an unreachable target, twice; a VM that
--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -29,7 +29,7 @@
 
     private final SplittableRandom mRandom;
     private final NetworkDelays mDelays;
-    private final InvariantChecker mInvariants = new InvariantChecker();
+    final InvariantChecker mInvariants = new InvariantChecker();
     private final FakeGroup mGroup;
     private final List<FakeEntryVm> mVms = new ArrayList<>();
     private final SimulatedClock mClock = new SimulatedClock();
--- a/core/src/test/java/org/boragegap/core/cell/InvariantChecker.java
+++ b/core/src/test/java/org/boragegap/core/cell/InvariantChecker.java
@@ -18,6 +18,7 @@
     private final Set<String> mCompletedJobs = new HashSet<>();
     private final Map<TaskName, Integer> mFailedRuns = new HashMap<>();
     private final List<String> mViolations = new ArrayList<>();
+    private final List<String> mFalseRefusals = new ArrayList<>();
     private final Map<String, Long> mEvacuatedMs = new HashMap<>();
     private long mEvacuationLimitMs = Long.MAX_VALUE;
     private long mNowMs;
@@ -87,6 +88,7 @@
         String job = request.id();
         if (verdict instanceof Verdict.Declined) {
             mRefusals.merge(job, 1, Integer::sum);
+            checkRefusal(job);
         } else if (verdict instanceof Verdict.Completed) {
             mCompletedJobs.add(job);
             completed(request);
@@ -95,6 +97,12 @@
         }
     }
 
+    private void checkRefusal(String job) {
+        if (mStartedJobs.contains(job)) {
+            mFalseRefusals.add(mNowMs + " ms: refused after a task had started: " + job);
+        }
+    }
+
     private void completed(JobRequest request) {
         for (TaskName task : tasks(request)) {
             if (!mDone.contains(task)) {
@@ -137,6 +145,11 @@
         return mViolations;
     }
 
+    /** Refusals of jobs of which a task had started when the caller was told. */
+    List<String> falseRefusals() {
+        return mFalseRefusals;
+    }
+
     int completedJobs() {
         return mCompletedJobs.size();
     }
