A view's age is known again after a suspension, and lapsed members keep asking

Cause: the age of a statement read across a suspension isn't known, and only a member that knows it states the view again; queries came at a 64th of the lease, also without one.

Change: the next read tells the age by the log's clock, if it isn't known; a member whose lease isn't valid asks at the interval of resends. Stating a view again whatever its age was tried and not taken: a statement that comes after the log's retention would lead a fresh reader back to it, past a view without a parent that has followed.

--- a/core/src/main/java/org/boragegap/core/claim/ClaimLease.java
+++ b/core/src/main/java/org/boragegap/core/claim/ClaimLease.java
@@ -13,7 +13,6 @@
  */
 final class ClaimLease {
     private static final long NEVER = Long.MIN_VALUE / 2;
-
     private static final int QUERIES_PER_LEASE = 64;
     private static final int QUERY_AGE_DIVISOR = 8;
 
@@ -62,9 +61,9 @@
 
     /** Asks the other members of the view for their last read if the one known here is old. */
     void queryIfOld(DomainView view, ClockReading clock, List<ClaimAction> out) {
-        long intervalMs = Math.max(mLimits.resendMs(), mLimits.claimLeaseMs() / QUERIES_PER_LEASE);
+        long intervalMs = valid(clock) ? mLimits.claimLeaseMs() / QUERIES_PER_LEASE : 0;
         boolean old = readAgeMs(clock) >= mLimits.claimLeaseMs() / QUERY_AGE_DIVISOR;
-        if (!old || clock.monotonicMs() - mLastQueryMs < intervalMs) {
+        if (!old || clock.monotonicMs() - mLastQueryMs < Math.max(mLimits.resendMs(), intervalMs)) {
             return;
         }
         mLastQueryMs = clock.monotonicMs();
--- a/core/src/main/java/org/boragegap/core/claim/StatementTime.java
+++ b/core/src/main/java/org/boragegap/core/claim/StatementTime.java
@@ -27,6 +27,16 @@
         mStatedMs -= suspendedMs;
     }
 
+    /**
+     * Sets the time from a later read of the log, if it isn't known: a suspension may have made the
+     * age of the statement uncertain when it was read.
+     */
+    void setIfUnknown(long sentMs, long ageMs) {
+        if (mStatedMs <= NOT_KNOWN && !mSuspensions.precedesResumption(sentMs)) {
+            mStatedMs = sentMs - ageMs;
+        }
+    }
+
     /**
      * Handles a statement read from the log. Its age is that at the read, which may have waited
      * here while this process was paused; if the VM was suspended as well, the age isn't known.
--- a/core/src/main/java/org/boragegap/core/claim/ViewLog.java
+++ b/core/src/main/java/org/boragegap/core/claim/ViewLog.java
@@ -1,6 +1,7 @@
 package org.boragegap.core.claim;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.boragegap.core.log.ReadWindow;
 
 /**
@@ -42,6 +43,13 @@
         return mCurrentFromLog;
     }
 
+    /** Time of the current view's last statement by the log's clock, if it was read here. */
+    OptionalLong statedMs() {
+        return mLastStatedMs == STATED_TIME_UNKNOWN
+                ? OptionalLong.empty()
+                : OptionalLong.of(mLastStatedMs);
+    }
+
     /** True when no record that this reader has seen is still retained. */
     boolean empty() {
         return mWindow.isEmpty();
--- a/core/src/main/java/org/boragegap/core/claim/ViewManager.java
+++ b/core/src/main/java/org/boragegap/core/claim/ViewManager.java
@@ -124,6 +124,8 @@
         }
         mLastReadOffset = batch.nextOffset() - 1;
         mLastReadSentMs = sentMs;
+        mLog.statedMs()
+                .ifPresent(stated -> mStatementTime.setIfUnknown(sentMs, batch.nowMs() - stated));
         mAtLogEnd = batch.atEnd();
         if (batch.atEnd()) {
             mLease.renew(sentMs);
--- a/core/src/test/java/org/boragegap/core/claim/FenceTest.java
+++ b/core/src/test/java/org/boragegap/core/claim/FenceTest.java
@@ -204,6 +204,23 @@
             assertThat(out).isEmpty();
         }
 
+        /** Guards against ids in doubt for long because one query of the lease was lost. */
+        @Test
+        void aMemberWithoutALeaseKeepsAsking() {
+            ClaimLimits limits = ClaimLimits.defaults();
+            ClaimProtocol member = ClaimProtocol.create(A, "fd", limits, () -> 5);
+            read(member, 0, DomainView.first(WALL_MS - 1, 5, A, 0), 0);
+            read(member, 1, PAIR, 0);
+            long lapsedMs = 2 * limits.claimLeaseMs();
+            long queries =
+                    tickUntil(member, lapsedMs, lapsedMs + 5 * limits.resendMs()).stream()
+                            .filter(ClaimAction.Send.class::isInstance)
+                            .map(action -> ((ClaimAction.Send) action).message())
+                            .filter(ClaimMessage.LogReadQuery.class::isInstance)
+                            .count();
+            assertThat(queries).isAtLeast(5);
+        }
+
         /** Guards against a member that alone can't read the log stopping its siblings. */
         @Test
         void aMemberIsToldOfASiblingsRead() {
--- a/core/src/test/java/org/boragegap/core/claim/OldReadsTest.java
+++ b/core/src/test/java/org/boragegap/core/claim/OldReadsTest.java
@@ -53,6 +53,23 @@
         }
     }
 
+    @Nested
+    final class OfAReadDuringASuspension {
+        /** Guards against a member that never claims since it read its view while suspended. */
+        @Test
+        void theNextReadTellsTheAgeOfTheView() {
+            mA.onTick(at(0), new ArrayList<>());
+            ClockReading resumed = new ClockReading(20, WALL_MS + 5_020);
+            mA.onTick(resumed, new ArrayList<>());
+            mA.onLog(batch(aloneOnLog(), 10), resumed, new ArrayList<>());
+            assertThat(mA.ready(resumed)).isFalse();
+            ClockReading later = new ClockReading(500, WALL_MS + 5_500);
+            LogBatch next = new LogBatch(List.of(), 0, 1, WALL_MS + 5_500, true, 490);
+            mA.onLog(next, later, new ArrayList<>());
+            assertThat(mA.ready(later)).isTrue();
+        }
+    }
+
     @Nested
     final class OfAnEmptyLog {
         private long coverageOfFirstView(ClockReading clock) {
