A view's method for fences doesn't look like a property to the codecs

What callers would have seen: VMs that can't read each other's views or the log, so none gets a view. The method is named fence().

--- a/core/src/main/java/org/boragegap/core/claim/DomainView.java
+++ b/core/src/main/java/org/boragegap/core/claim/DomainView.java
@@ -97,7 +97,7 @@
      * claim: one of a member of the parent that is alive after all and holds the claims, or one of
      * any VM once all members of the parent have stopped.
      */
-    public boolean isFence() {
+    public boolean fence() {
         return !members.isEmpty() && establishedMembers().isEmpty();
     }
 
--- a/core/src/main/java/org/boragegap/core/claim/ViewManager.java
+++ b/core/src/main/java/org/boragegap/core/claim/ViewManager.java
@@ -89,13 +89,13 @@
      * neither a lapsed lease nor a fence prevents it.
      */
     boolean serving(ClockReading clock) {
-        return established(clock) || inView() && currentView().get().isFence();
+        return established(clock) || inView() && currentView().get().fence();
     }
 
     /** The time until a claim is possible again, if the current view is a fence. */
     Optional<Long> fenceRemainingMs(ClockReading clock) {
         return currentView()
-                .filter(DomainView::isFence)
+                .filter(DomainView::fence)
                 .map(fence -> Math.max(0, mViewSinceMs + mLimits.fenceMs() - clock.monotonicMs()));
     }
 
@@ -190,7 +190,7 @@
     private void onViewChanged(
             String source, Optional<DomainView> before, ClockReading clock, List<ClaimAction> out) {
         DomainView view = currentView().orElseThrow();
-        boolean fencedHere = view.isFence() && mHasAllClaims;
+        boolean fencedHere = view.fence() && mHasAllClaims;
         mFencedView = before.filter(parent -> fencedHere && parent.uid() == view.parentUid());
         mViewSinceMs = clock.monotonicMs();
         out.add(new ClaimAction.Log("view", "source=" + source, view.describe()));
@@ -285,7 +285,7 @@
         if (mAtLogEnd && currentView().isEmpty()) {
             mLog.forgetBefore(clock.wallMs() - mLimits.logRetentionMs() - mLimits.clockSkewMs());
             bootstrap(clock, out);
-        } else if (currentView().filter(DomainView::isFence).isPresent()) {
+        } else if (currentView().filter(DomainView::fence).isPresent()) {
             endFence(clock, out);
         } else if (currentView().isPresent() && !(inView() && mHasAllClaims)) {
             takeOverIfOthersDead(clock, out);
--- a/core/src/test/java/org/boragegap/core/claim/FenceTest.java
+++ b/core/src/test/java/org/boragegap/core/claim/FenceTest.java
@@ -103,7 +103,7 @@
         @Test
         void aViewOfUnlistedMembersIsFencedFirst() {
             mC.onVmsUnlisted(Set.of(A.address(), B.address()));
-            assertThat(proposal(tickUntil(mC, 0, FENCED_MS)).orElseThrow().isFence()).isTrue();
+            assertThat(proposal(tickUntil(mC, 0, FENCED_MS)).orElseThrow().fence()).isTrue();
         }
 
         /** Guards against claims under a fence, while earlier members may still claim. */
