A drain that meets an error still ends the process in order

What an operator saw: a VM that was drained by SIGTERM answered all its callers, but ended with 143 instead of 0.

Cause: 143 comes when the shutdown hook ends without a halt, which takes an exception in it. The hook and the main thread wait for the end of the drain at the same time, and since the last VM releases its view both arrived at a Phaser with one party. The log of the process is gone, so this is the best fit, not shown.

--- a/app/src/main/java/org/boragegap/app/ServeCommand.java
+++ b/app/src/main/java/org/boragegap/app/ServeCommand.java
@@ -130,6 +130,9 @@
             service.awaitDrained();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } catch (RuntimeException e) {
+            // Without a halt the process would end with the signal's exit code.
+            LoggerHolder.LOGGER.error("the drain failed", e);
         }
         stopAndHalt(service);
     }
--- a/entry/src/main/java/org/boragegap/entry/ActionRunner.java
+++ b/entry/src/main/java/org/boragegap/entry/ActionRunner.java
@@ -1,9 +1,6 @@
 package org.boragegap.entry;
 
 import java.util.concurrent.Executor;
-import java.util.concurrent.Phaser;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -40,7 +37,7 @@
     private final LogClient mLog;
     private final PeerTransport mPeers;
     private final Executor mNetworkExecutor;
-    private final Phaser mAppends = new Phaser(1);
+    private final PendingAppends mAppends = new PendingAppends();
     private CallerApi mCallerApi;
     private LogPoller mLogPoller;
     private Consumer<Event> mEventSink;
@@ -121,21 +118,18 @@
     }
 
     private void appendToLog(LogEntry entry) {
-        mAppends.register();
+        Runnable answered = mAppends.begin();
         mLog.append(
                 entry,
                 acknowledged -> {
-                    mAppends.arriveAndDeregister();
+                    answered.run();
                     mLogPoller.poll();
                 });
     }
 
     /** Waits until all appends so far are answered, at most for the given time. */
     void awaitAppends(long timeoutMs) throws InterruptedException {
-        int phase = mAppends.arrive();
-        try {
-            mAppends.awaitAdvanceInterruptibly(phase, timeoutMs, TimeUnit.MILLISECONDS);
-        } catch (TimeoutException e) {
+        if (!mAppends.await(timeoutMs)) {
             sLog.warn("an append to the log was not answered within {} ms", timeoutMs);
         }
     }
