Weak VMs receive fewer heartbeats; only targets of watched cells are decoded

Cause: VMs with a quarter of a core were sent seven heartbeats a second by each of five controllers and answered each, and ticked twenty times a second for each cell. Controllers decoded the list entries of all targets, which are rewritten all the time, and used a fifth of them.

Change: the period of heartbeats also depends on the processor of the median VM, up to 333 ms: two missed periods still fit into the second after which the group drops a lost controller. The list of targets is filtered by cell before it is decoded.

Deployments with one cell, or with a whole core in most VMs, keep their period of 150 ms.

Tried and not kept: running control events on the I/O thread that posts them instead of handing them to a thread of their own.

--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -132,6 +132,8 @@
     private void handle(MemberEvent event) {
         if (event instanceof MemberEvent.Joined joined) {
             joined(joined);
+        } else if (event instanceof MemberEvent.PeerProcessorKnown known) {
+            mHeartbeats.peerCpuMillis(known.medianCpuMillis());
         } else if (event instanceof MemberEvent.PeersListed listed) {
             peersListed(listed);
         } else if (event instanceof MemberEvent.Received received) {
--- a/core/src/main/java/org/boragegap/core/cell/HeartbeatSchedule.java
+++ b/core/src/main/java/org/boragegap/core/cell/HeartbeatSchedule.java
@@ -25,6 +25,7 @@
     private final StallTracker mStalls = new StallTracker();
     private int mCells = 1;
     private int mCpuMillis = DEFAULT_CPU_MILLIS;
+    private int mPeerCpuMillis = DEFAULT_CPU_MILLIS;
     private long mSentMs;
 
     /** See {@link CellMember#deployment}. */
@@ -33,6 +34,11 @@
         mCpuMillis = cpuMillis;
     }
 
+    /** Sets the processor of the median VM of the group, in thousandths of a core. */
+    void peerCpuMillis(int peerCpuMillis) {
+        mPeerCpuMillis = peerCpuMillis;
+    }
+
     /**
      * Records a tick; returns how long this VM was stalled since the last one, in ms.
      *
@@ -66,7 +72,9 @@
      * this is the period that it announces.
      */
     long periodMs(int peers) {
-        return HeartbeatTiming.periodMs(mCells, peers, mCpuMillis, mStalls.longestStallMs());
+        return Math.max(
+                HeartbeatTiming.periodMs(mCells, peers, mCpuMillis, mStalls.longestStallMs()),
+                HeartbeatTiming.weakReceiverPeriodMs(mCells, mPeerCpuMillis));
     }
 
     /** Processor that a VM has for the cell, reduced by its recent stalls. */
--- a/core/src/main/java/org/boragegap/core/cell/HeartbeatTiming.java
+++ b/core/src/main/java/org/boragegap/core/cell/HeartbeatTiming.java
@@ -43,6 +43,20 @@
      */
     private static final long MAX_STALL_PERIOD_MS = 600;
 
+    /**
+     * Heartbeats that one VM should receive per second and core. With the reply and the wake-ups
+     * each takes about 1 ms of CPU time in code that is mostly interpreted, so all of them take a
+     * twentieth of the VM's processor.
+     */
+    private static final int RECEIVED_PER_CORE_S = 50;
+
+    /**
+     * Longest period that weak receivers cause, in ms. The group drops a lost controller one second
+     * after its last join. Two missed periods are 666 ms, so a candidate is found before that, and
+     * the longer period does not delay the next term.
+     */
+    private static final long MAX_WEAK_RECEIVER_PERIOD_MS = 333;
+
     private static final int MILLIS_PER_CORE = 1_000;
     private static final int MS_PER_S = 1_000;
 
@@ -75,6 +89,17 @@
         return Math.max(Math.max(MIN_PERIOD_MS, stallPeriodMs), Math.max(receivedMs, sentMs));
     }
 
+    /**
+     * Period that the other VMs can bear, in ms; short if they have enough processor.
+     *
+     * @param cells number of cells in the deployment
+     * @param peerCpuMillis processor of the median VM, in thousandths of a core
+     */
+    static long weakReceiverPeriodMs(int cells, int peerCpuMillis) {
+        long perS = Math.max(1, (long) RECEIVED_PER_CORE_S * peerCpuMillis / MILLIS_PER_CORE);
+        return Math.min(MAX_WEAK_RECEIVER_PERIOD_MS, (long) cells * MS_PER_S / perS);
+    }
+
     /** Time between two ticks of a VM that controls nothing, in ms. */
     long tickMs() {
         return Math.min(MAX_TICK_MS, mPeriodMs / TICKS_PER_PERIOD);
--- a/core/src/main/java/org/boragegap/core/cell/MemberEvent.java
+++ b/core/src/main/java/org/boragegap/core/cell/MemberEvent.java
@@ -23,6 +23,13 @@
      */
     record PeersListed(Set<String> peers, long askedMs) implements MemberEvent {}
 
+    /**
+     * The processors of the VMs in the group were read.
+     *
+     * @param medianCpuMillis processor of the median VM, in thousandths of a core
+     */
+    record PeerProcessorKnown(int medianCpuMillis) implements MemberEvent {}
+
     /**
      * A message arrived from another entry VM.
      *
--- a/core/src/test/java/org/boragegap/core/cell/HeartbeatTimingTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/HeartbeatTimingTest.java
@@ -43,6 +43,25 @@
         assertThat(sentPerS(2, 17, TINY)).isAtMost(31);
     }
 
+    /**
+     * Guards against weak VMs that spend a seventh of their processor on heartbeats: 30 VMs, most
+     * of them with a quarter of a core, used a quarter of the CPU time of a day while they waited.
+     */
+    @Test
+    void weakVmsReceiveFewerHeartbeats() {
+        assertThat(5_000.0 / HeartbeatTiming.weakReceiverPeriodMs(5, 270)).isAtMost(15.1);
+        assertThat(HeartbeatTiming.weakReceiverPeriodMs(5, STRONG)).isAtMost(150);
+        assertThat(HeartbeatTiming.weakReceiverPeriodMs(1, USUAL)).isAtMost(150);
+    }
+
+    /** A candidate must be found before the group drops a lost controller, after a second. */
+    @Test
+    void weakReceiversDelayNoTerm() {
+        HeartbeatTiming pace = new HeartbeatTiming();
+        pace.periodAnnounced(HeartbeatTiming.weakReceiverPeriodMs(60, TINY));
+        assertThat(pace.missingAfterMs() + pace.tickMs()).isLessThan(1_000);
+    }
+
     @Test
     void aStalledControllerAnnouncesALongerPeriod() {
         assertThat(HeartbeatTiming.periodMs(1, 8, USUAL, 430)).isEqualTo(430);
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -267,7 +268,12 @@
     }
 
     private void membersRead(Set<String> peers, long askedMs) {
-        mThread.post(() -> mCells.onAll(new MemberEvent.PeersListed(peers, askedMs)));
+        int medianCpuMillis = mGroup.medianCpuMillis();
+        mThread.post(
+                () -> {
+                    mCells.onAll(new MemberEvent.PeerProcessorKnown(medianCpuMillis));
+                    mCells.onAll(new MemberEvent.PeersListed(peers, askedMs));
+                });
     }
 
     private void handleReadiness(IncomingRequest in) {
@@ -316,7 +322,11 @@
     }
 
     private void targetsChanged(Map<String, byte[]> records) {
-        List<TargetInfo> targets = new ArrayList<>(mListedTargets.decode(records));
+        // Targets rewrite their entries all the time, and most belong to cells of other VMs.
+        Cells cells = mCells;
+        Map<String, byte[]> watched = new HashMap<>(records);
+        watched.keySet().removeIf(id -> !cells.watchesTarget(id));
+        List<TargetInfo> targets = new ArrayList<>(mListedTargets.decode(watched));
         // A service that the configuration doesn't name is of another deployment: its targets may
         // never answer, and a new controller waits for the answers of all.
         targets.removeIf(target -> !mJobs.knowsService(target.service()));
--- a/entry/src/main/java/org/boragegap/entry/cell/Cells.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/Cells.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.IntFunction;
 import org.boragegap.core.cell.CellEvent;
 import org.boragegap.core.cell.CellLayout;
@@ -14,8 +15,8 @@
 import org.boragegap.core.cell.TargetInfo;
 
 /**
- * This VM's members of all cells of the deployment. Used by the control thread only, except where
- * noted.
+ * This VM's members of all cells of the deployment. Used by the {@link ControlThread} only, except
+ * where noted.
  */
 final class Cells {
     /** How long a new process is slow, in ms, while much of its code isn't compiled yet. */
@@ -32,7 +33,7 @@
 
     private final Optional<CellLayout> mLayout;
     private final List<CellMemberDriver> mDrivers = new ArrayList<>();
-    private final Set<Integer> mWatchingTargets = new HashSet<>();
+    private final Set<Integer> mWatchingTargets = ConcurrentHashMap.newKeySet();
     private final int mCpuMillis;
     private final long mBeganMs;
 
@@ -168,6 +169,11 @@
         return !mWatchingTargets.isEmpty();
     }
 
+    /** True when the target's cell watches the list of targets. May be called on any thread. */
+    boolean watchesTarget(String id) {
+        return mLayout.filter(l -> mWatchingTargets.contains(l.cellOfTarget(id))).isPresent();
+    }
+
     /** Cells that this VM asks the group for. May be called on any thread. */
     Set<Integer> wantedCells() {
         Set<Integer> wanted = new HashSet<>();
--- a/entry/src/main/java/org/boragegap/entry/cell/GroupMembership.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/GroupMembership.java
@@ -1,6 +1,7 @@
 package org.boragegap.entry.cell;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -241,6 +242,13 @@
         return cpuMillis;
     }
 
+    /** Processor of the median VM of the group, as last read, in thousandths of a core. */
+    int medianCpuMillis() {
+        List<Integer> cpuMillis = cpuMillis();
+        Collections.sort(cpuMillis);
+        return cpuMillis.get(cpuMillis.size() / 2);
+    }
+
     /** Leaves the group, so that its cells are assigned to other VMs at once. */
     void leave() {
         if (mLeft) {
