A new controller refuses no job that an earlier term has started

Callers were told 429, "has not run", for a job that an earlier term had started, when they came back at another VM after a change of the controller. They may hand the work in again and have it done twice.

Cause: a controller in a new term knew only what targets still report.

Change: a VM that hears of a new term sends the controller the ids of jobs that it has offered, or started itself, in the last 10 s, in frames of at most 256 ids that are sent with each heartbeat until acknowledged (StartRecordExchange, RecordSender). KnownRecords decides what a refusal may state: a job in a record is answered in doubt; any other is refused once all VMs of the last 10 s have delivered, and in doubt before. Records that were lost with a VM count as missing for 10 s. The setting platform.first_start declares that nothing ran before; an invalid value of the platform counts as false.

RecentJobs moves to core.records.

--- a/core/src/main/java/org/boragegap/core/cell/CellController.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.boragegap.core.ClockReading;
+import org.boragegap.core.records.KnownRecords;
+import org.boragegap.core.records.RecentJobs;
 
 /**
  * Schedules one cell while this VM controls it: decides which jobs are admitted, where and when
@@ -26,6 +28,7 @@
     private static final double MIN_CLOCK_RATE = 0.98;
 
     private final CellSettings mSettings;
+    private final KnownRecords mRecords;
     private final RunTimeEstimator mRunTimes = new RunTimeEstimator();
     private final Evacuations mEvacuations = new Evacuations();
     private final CrashHistory mCrashes = new CrashHistory();
@@ -48,13 +51,33 @@
     private boolean mPredecessorsKnown;
     private boolean mPredecessorLeasesExpired;
 
-    private CellController(CellSettings settings) {
+    private CellController(CellSettings settings, KnownRecords records) {
         mSettings = settings;
+        mRecords = records;
     }
 
-    /** Creates a controller without a term. */
+    /** Creates a controller without a term, for a cell that no other VM controls. */
     public static CellController create(CellSettings settings) {
-        return new CellController(settings);
+        return create(settings, KnownRecords.withoutEarlierTerms());
+    }
+
+    /**
+     * Creates a controller without a term.
+     *
+     * @param records what other VMs report about starts in earlier terms
+     */
+    public static CellController create(CellSettings settings, KnownRecords records) {
+        return new CellController(settings, records);
+    }
+
+    /** Jobs that have started in terms of this VM since a time, or may have. */
+    List<String> startedSince(long sinceMs) {
+        return mStarted.since(sinceMs, fence -> true);
+    }
+
+    /** See {@link RecentJobs#evictedMs}. */
+    long evictedMs() {
+        return mStarted.evictedMs();
     }
 
     /** Fencing token of the current term; empty when this VM does not control the cell. */
@@ -123,7 +146,7 @@
 
     private void begin(CellEvent.TermBegan began, ClockReading clock, List<CellAction> actions) {
         long fence = began.fence();
-        mTerm = new Term(fence, clock.monotonicMs(), mEvacuations, mCrashes, mStarted);
+        mTerm = new Term(fence, clock.monotonicMs(), mEvacuations, mCrashes, mStarted, mRecords);
         mTerm.beginEvent(clock.monotonicMs(), actions);
         mTerm.exclusiveUntil(mExclusiveUntilMs);
         mCrashDetector = new CrashDetector(mTerm);
--- a/core/src/main/java/org/boragegap/core/cell/CellEvent.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellEvent.java
@@ -69,7 +69,17 @@
             long budgetMs,
             int controllers,
             long number)
-            implements CellEvent {}
+            implements CellEvent {
+        static Offered of(String entryVm, CellMessage.Offer offer) {
+            return new Offered(
+                    entryVm,
+                    offer.request(),
+                    offer.ageMs(),
+                    offer.budgetMs(),
+                    offer.controllers(),
+                    offer.number());
+        }
+    }
 
     /**
      * The callers at an entry VM no longer wait for a job.
--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.boragegap.core.ClockReading;
+import org.boragegap.core.records.KnownRecords;
 
 /**
  * All decisions of one entry VM about a cell: its pending jobs, its membership in the group, the
@@ -31,6 +32,7 @@
     private final LatestTargetList mTargets = new LatestTargetList();
     private final Predecessors mPredecessors = new Predecessors();
     private final ControllerSearch mSearch;
+    private final StartRecordExchange mRecords;
     private long mMembersReadMs;
     private ClockReading mClock;
     private List<MemberAction> mActions;
@@ -39,7 +41,9 @@
             String self, int cell, CellSettings settings, long groupLeaseMs, ClockReading start) {
         mSelf = self;
         mPendingJobs = PendingJobs.create(mTiming, start);
-        mController = CellController.create(settings);
+        KnownRecords known = KnownRecords.create();
+        mController = CellController.create(settings, known);
+        mRecords = new StartRecordExchange(self, mPendingJobs, mController, known, start);
         mMembership = Membership.create(groupLeaseMs, start);
         mSearch = new ControllerSearch(self, cell, mMembership, mPendingJobs, mFollowers, mTiming);
     }
@@ -58,6 +62,14 @@
         return new CellMember(self, cell, settings, groupLeaseMs, start);
     }
 
+    /**
+     * Declares that all VMs of the deployment start for the first time: no job can have started
+     * before this process.
+     */
+    public void firstStart() {
+        mRecords.firstStart();
+    }
+
     /**
      * Sets the size of the deployment, on which the period of heartbeats depends.
      *
@@ -175,6 +187,7 @@
 
     private void peersListed(MemberEvent.PeersListed listed) {
         mFollowers.updatePeers(listed.peers(), mClock.monotonicMs());
+        mRecords.membersListed(listed, mClock.monotonicMs());
         if (mController.fence().isEmpty()) {
             return;
         }
@@ -202,9 +215,11 @@
             mActions.add(new MemberAction.WatchTargets(false));
         }
         if (held.isPresent()) {
-            Optional<CellMessage.Targets> inherited = inheritedTargets();
+            // The targets of the last controller that was heard, if it has sent them.
+            Optional<CellMessage.Targets> inherited = mTargets.ofTerm(mPendingJobs.fence());
             long inheritedFence = inherited.map(CellMessage.Targets::fence).orElse(0L);
             mPredecessors.termBegan(inheritedFence, mClock.monotonicMs());
+            mRecords.termBegan(mClock.monotonicMs());
             toController(
                     new CellEvent.TermBegan(
                             held.get(), inherited.map(CellMessage.Targets::targets)));
@@ -269,11 +284,6 @@
                 .ifPresent(own -> mActions.add(new MemberAction.Send(from, heartbeat(own))));
     }
 
-    /** Targets of the last controller that was heard, if it has sent them. */
-    private Optional<CellMessage.Targets> inheritedTargets() {
-        return mTargets.ofTerm(mPendingJobs.fence());
-    }
-
     private void resign() {
         mMembership.resign();
         updateTerm();
@@ -333,6 +343,8 @@
     // Messages
 
     private void received(String from, CellMessage message) {
+        mRecords.received(from, message, mClock.monotonicMs())
+                .ifPresent(receipt -> mActions.add(new MemberAction.Send(from, receipt)));
         if (message instanceof CellMessage.Offer offer) {
             offered(from, offer);
         } else if (message instanceof CellMessage.Withdraw withdraw) {
@@ -364,14 +376,7 @@
     private void offered(String from, CellMessage.Offer offer) {
         boolean currentTerm = mController.fence().filter(own -> own == offer.fence()).isPresent();
         if (currentTerm) {
-            toController(
-                    new CellEvent.Offered(
-                            from,
-                            offer.request(),
-                            offer.ageMs(),
-                            offer.budgetMs(),
-                            offer.controllers(),
-                            offer.number()));
+            toController(CellEvent.Offered.of(from, offer));
         }
     }
 
@@ -379,6 +384,9 @@
         if (isLaterTerm(heartbeat.fence())) {
             deposed(heartbeat.fence());
         }
+        for (CellMessage records : mRecords.toController(heartbeat.fence(), mClock.monotonicMs())) {
+            mActions.add(new MemberAction.Send(from, records));
+        }
         if (heartbeat.fence() >= mPendingJobs.fence()) {
             mTiming.periodAnnounced(heartbeat.periodMs());
         }
@@ -415,22 +423,13 @@
             mActions.add(new MemberAction.Send(from, heartbeat(own.get())));
         } else if (mController.fence().filter(f -> f == reply.fence()).isPresent()) {
             mFollowers.answered(from, reply.storeSilent(), reply.heartbeat());
-            sendMissedTargets(from, reply);
+            mTargets.missedBy(reply)
+                    .ifPresent(list -> mActions.add(new MemberAction.Send(from, list)));
             mPredecessors.answered(from, reply);
             checkPredecessors();
         }
     }
 
-    /**
-     * Sends the list of targets to a VM that joined after it was sent, or lost the message. As the
-     * next controller it could not tell where tasks may be running, and would start none before all
-     * leases have expired; callers would wait for a second.
-     */
-    private void sendMissedTargets(String peer, CellMessage.HeartbeatReply reply) {
-        mTargets.ifNewerThan(reply.fence(), reply.targetsVersion())
-                .ifPresent(list -> mActions.add(new MemberAction.Send(peer, list)));
-    }
-
     private boolean isLaterTerm(long fence) {
         return mController.fence().filter(own -> own < fence).isPresent();
     }
--- a/core/src/main/java/org/boragegap/core/cell/CellMessage.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.boragegap.core.ClockReading;
+import org.boragegap.core.records.RecordFrame;
 
 /** Messages between the entry VMs and the controller of a cell. */
 public sealed interface CellMessage {
@@ -110,4 +111,20 @@
             long endedAgoMs,
             long targetsVersion)
             implements CellMessage {}
+
+    /**
+     * To the controller, once a VM hears of its term: jobs that may have started in earlier terms.
+     *
+     * @param fence fencing token of the term
+     * @param frame a part of the sender's records
+     */
+    record StartRecords(long fence, RecordFrame frame) implements CellMessage {}
+
+    /**
+     * Controller to the sender of {@link StartRecords}: the frame has arrived.
+     *
+     * @param fence fencing token of the term
+     * @param frame number of the frame
+     */
+    record StartRecordsReceived(long fence, int frame) implements CellMessage {}
 }
--- a/core/src/main/java/org/boragegap/core/cell/JobLifecycle.java
+++ b/core/src/main/java/org/boragegap/core/cell/JobLifecycle.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
+import org.boragegap.core.records.RefusalBasis;
 
 /** Admits or refuses offered jobs, and reports to the entry VMs how they ended. */
 final class JobLifecycle {
@@ -73,6 +74,7 @@
             return;
         }
         if (!refusedLaterOffer(offer)) {
+            mTerm.records().offered(id, mTerm.nowMs());
             admitOrRefuse(offer);
         }
     }
@@ -153,10 +155,14 @@
     private void refuse(
             String entryVm, long number, CellJob job, String reason, long expectedWaitMs) {
         Optional<Long> startedIn = mTerm.startedIn(job.id());
-        Verdict verdict =
+        RefusalBasis basis =
                 job.mayHaveStarted() || startedIn.isPresent()
-                        ? new Verdict.InDoubt(reason)
-                        : new Verdict.Declined(reason, mAdmission.retryAfterMs(expectedWaitMs));
+                        ? RefusalBasis.MAY_HAVE_STARTED
+                        : mTerm.records().basis(job.id(), mTerm.nowMs());
+        Verdict verdict =
+                basis.allowsRefusal()
+                        ? new Verdict.Declined(reason, mAdmission.retryAfterMs(expectedWaitMs))
+                        : new Verdict.InDoubt(reason);
         mTerm.log(
                 Decision.job(
                         "refuse",
@@ -167,7 +173,9 @@
                                 + expectedWaitMs
                                 + " objective_ms="
                                 + job.objectiveMs()
-                                + startedIn.map(fence -> " started_in=" + fence).orElse(""),
+                                + startedIn.map(fence -> " started_in=" + fence).orElse("")
+                                + " basis="
+                                + basis.name(),
                         reason));
         OfferKey key = new OfferKey(entryVm, job.id());
         // Removed first, because replacing the value would keep the entry's old insertion order.
--- a/core/src/main/java/org/boragegap/core/cell/LatestTargetList.java
+++ b/core/src/main/java/org/boragegap/core/cell/LatestTargetList.java
@@ -31,8 +31,12 @@
         return ofTerm(fence).map(CellMessage.Targets::version).orElse(0L);
     }
 
-    /** The list of a term, if it is newer than the given version. */
-    Optional<CellMessage.Targets> ifNewerThan(long fence, long version) {
-        return ofTerm(fence).filter(latest -> latest.version() > version);
+    /**
+     * The list to send to a VM that joined after it was sent, or lost the message. As the next
+     * controller it could not tell where tasks may be running, and would start none before all
+     * leases have expired; callers would wait for a second.
+     */
+    Optional<CellMessage.Targets> missedBy(CellMessage.HeartbeatReply reply) {
+        return ofTerm(reply.fence()).filter(latest -> latest.version() > reply.targetsVersion());
     }
 }
--- a/core/src/main/java/org/boragegap/core/cell/PendingJobs.java
+++ b/core/src/main/java/org/boragegap/core/cell/PendingJobs.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.boragegap.core.ClockReading;
+import org.boragegap.core.records.RecentJobs;
 
 /**
  * Holds the jobs that callers of one entry VM wait for, and offers them to the current controller
@@ -161,6 +162,19 @@
         return mJobByTicket.size();
     }
 
+    /**
+     * Jobs that callers have brought to this VM since a time and that may have started: it has
+     * offered them, or has answered in doubt without offering them.
+     */
+    List<String> mayHaveStartedSince(long sinceMs) {
+        return mOfferHistories.since(sinceMs, history -> !history.refused());
+    }
+
+    /** See {@link RecentJobs#evictedMs}. */
+    long evictedMs() {
+        return mOfferHistories.evictedMs();
+    }
+
     /** Handles an event and adds the resulting actions to {@code actions}. */
     public void on(EntryEvent event, ClockReading clock, List<EntryAction> actions) {
         mNowMs = clock.monotonicMs();
@@ -186,7 +200,7 @@
         String id = event.request().id();
         Caller caller = new Caller(event.ticket(), mNowMs, mNowMs + event.budgetMs());
         if (mDraining) {
-            reply(caller, id, offerHistory(id).refusal("this VM is stopping"));
+            refuse(caller, id, offerHistory(id), "this VM is stopping");
             return;
         }
         mJobByTicket.put(event.ticket(), id);
@@ -230,6 +244,15 @@
         mActions.add(new EntryAction.Reply(caller.ticket(), job, verdict, waitedMs));
     }
 
+    /**
+     * Answers a caller whose job is not offered to a controller. The job is remembered: a later
+     * term must not refuse it only because it comes back after the records of its first start.
+     */
+    private void refuse(Caller caller, String job, OfferHistory history, String reason) {
+        mOfferHistories.remember(job, history, mNowMs);
+        reply(caller, job, history.refusal(reason));
+    }
+
     private void callerLeft(long ticket) {
         String id = mJobByTicket.remove(ticket);
         if (id == null) {
@@ -331,7 +354,7 @@
         for (Caller caller : List.copyOf(pending.mCallers)) {
             if (!pending.offered() && mNowMs - caller.arrivedMs() > CONTROLLER_WAIT_MS) {
                 pending.mCallers.remove(caller);
-                reply(caller, id, pending.mOfferHistory.refusal("no controller is known"));
+                refuse(caller, id, pending.mOfferHistory, "no controller is known");
             } else if (mNowMs >= caller.deadlineMs()) {
                 pending.mCallers.remove(caller);
                 reply(caller, id, new Verdict.InDoubt("no verdict in time"));
--- a/core/src/main/java/org/boragegap/core/cell/Term.java
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
+import org.boragegap.core.records.KnownRecords;
+import org.boragegap.core.records.RecentJobs;
 
 /** Everything that a controller knows in one term; a later term starts without it. */
 final class Term {
@@ -28,6 +30,7 @@
     private final Evacuations mEvacuations;
     private final CrashHistory mCrashes;
     private final RecentJobs<Long> mStarted;
+    private final KnownRecords mRecords;
     private final Map<String, Target> mTargets = new LinkedHashMap<>();
     private final Map<String, CellJob> mJobs = new HashMap<>();
     private final TreeSet<CellJob> mWaiting =
@@ -48,12 +51,14 @@
             long nowMs,
             Evacuations evacuations,
             CrashHistory crashes,
-            RecentJobs<Long> started) {
+            RecentJobs<Long> started,
+            KnownRecords records) {
         mFence = fence;
         mSinceMs = nowMs;
         mEvacuations = evacuations;
         mCrashes = crashes;
         mStarted = started;
+        mRecords = records;
     }
 
     /** Sets the clock and the list of actions for the event that is being handled. */
@@ -156,6 +161,11 @@
         return mStarted.find(job, mNowMs);
     }
 
+    /** What other VMs have reported about starts in earlier terms. */
+    KnownRecords records() {
+        return mRecords;
+    }
+
     Map<String, CellJob> jobs() {
         return mJobs;
     }
--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -196,6 +196,9 @@
         vm.mLastEvacuated = null;
         ClockReading start = clock(vm);
         vm.mMember = CellMember.create(vm.mAddress, 0, SETTINGS, FakeGroup.LEASE_MS, start);
+        if (vm.mIncarnation == 1) {
+            vm.mMember.firstStart();
+        }
         int incarnation = vm.mIncarnation;
         tick(vm, incarnation);
         join(vm, incarnation, true);
--- a/core/src/test/java/org/boragegap/core/cell/FalseRefusalTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/FalseRefusalTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.boragegap.core.ClockReading;
+import org.boragegap.core.records.RecentJobs;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
--- a/entry/src/main/java/org/boragegap/entry/PlatformSettings.java
+++ b/entry/src/main/java/org/boragegap/entry/PlatformSettings.java
@@ -45,6 +45,8 @@
         replacements.put(Setting.GROUP_LEASE_MS, "1000");
         // The longest lease ever requested of a target, so none can last longer than expected.
         replacements.put(Setting.TARGET_LEASE_MS, "1000");
+        // After a restart jobs may have run; that is assumed unless the platform denies it.
+        replacements.put(Setting.FIRST_START, "false");
         return replacements;
     }
 
--- a/entry/src/main/java/org/boragegap/entry/Setting.java
+++ b/entry/src/main/java/org/boragegap/entry/Setting.java
@@ -63,6 +63,13 @@
             "ms",
             "1000",
             "longest lease that a target grants"),
+    FIRST_START(
+            "platform",
+            "first_start",
+            SettingType.BOOLEAN,
+            "",
+            "false",
+            "all VMs of the deployment start for the first time, so no job has run before"),
     LOG_POLL_MS(
             "platform", "log_poll_ms", SettingType.integer(20, 10_000), "ms", "500", "log reads"),
     VM_LIST_POLL_MS(
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -252,6 +252,9 @@
         long leaseMs = Math.max(configuredMs, layout.minLeaseMs());
         CellMember member = CellMember.create(mSelf, cell, settings, leaseMs, began);
         member.deployment(layout.cells(), cpuMillis);
+        if (mSettings.flag(Setting.FIRST_START)) {
+            member.firstStart();
+        }
         return new CellMemberDriver(member, new Output(cell));
     }
 
--- a/entry/src/test/java/org/boragegap/entry/PlatformSettingsTest.java
+++ b/entry/src/test/java/org/boragegap/entry/PlatformSettingsTest.java
@@ -39,6 +39,7 @@
         values.put("{{platform.Address}}", "10.200.1.7:8169");
         values.put("{{platform.TtlMinMs}}", "1000");
         values.put("{{Bounds.HoldMaxMs}}", "1000");
+        values.put("{{Bootstrap}}", "true");
         values.put("{{Bounds.FarFactor}}", farFactor);
         return values;
     }
@@ -140,6 +141,16 @@
             assertThat(settings.decimal(Setting.FAR_FACTOR)).isEqualTo(2);
         }
 
+        /** Guards against a restart that is taken for the first start and refuses jobs that ran. */
+        @Test
+        void onlyTrueMeansAFirstStart() throws IOException {
+            assertThat(parseValid(DEPLOYMENTS.get(0)).flag(Setting.FIRST_START)).isTrue();
+            for (String value : List.of("false", "", "1", "yes", "null", "[]")) {
+                Settings settings = parseValid(with(DEPLOYMENTS.get(0), "{{Bootstrap}}", value));
+                assertWithMessage(value).that(settings.flag(Setting.FIRST_START)).isFalse();
+            }
+        }
+
         @Test
         void aFractionalLeaseIsRoundedUp() throws IOException {
             Settings settings =
--- a/wire/src/main/java/org/boragegap/wire/CellFields.java
+++ b/wire/src/main/java/org/boragegap/wire/CellFields.java
@@ -7,6 +7,7 @@
 import org.boragegap.core.cell.CrashEvidence;
 import org.boragegap.core.cell.TargetInfo;
 import org.boragegap.core.cell.TaskName;
+import org.boragegap.core.records.RecordFrame;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -171,8 +172,57 @@
                     unpacker.unpackLong(),
                     unpacker.unpackLong());
         }
+    },
+    START_RECORDS(CellMessage.StartRecords.class) {
+        @Override
+        void packFields(MessagePacker packer, CellMessage message) throws IOException {
+            CellMessage.StartRecords records = (CellMessage.StartRecords) message;
+            RecordFrame frame = records.frame();
+            packer.packLong(records.fence());
+            packer.packLong(frame.process()).packLong(frame.coveredMs());
+            packer.packInt(frame.number()).packInt(frame.count());
+            packer.packInt(frame.jobs().size());
+            for (String job : frame.jobs()) {
+                packer.packString(job);
+            }
+        }
+
+        @Override
+        CellMessage unpack(MessageUnpacker unpacker) throws IOException {
+            long fence = unpacker.unpackLong();
+            long process = unpacker.unpackLong();
+            long coveredMs = unpacker.unpackLong();
+            int number = unpacker.unpackInt();
+            int count = unpacker.unpackInt();
+            if (number < 0 || number >= count || count > MAX_RECORD_FRAMES) {
+                throw new IOException("frame " + number + " of " + count + " start records");
+            }
+            int jobCount = unpacker.unpackInt();
+            List<String> jobs = new ArrayList<>();
+            for (int i = 0; i < jobCount; i++) {
+                jobs.add(unpacker.unpackString());
+            }
+            RecordFrame frame = new RecordFrame(process, coveredMs, number, count, jobs);
+            return new CellMessage.StartRecords(fence, frame);
+        }
+    },
+    START_RECORDS_RECEIVED(CellMessage.StartRecordsReceived.class) {
+        @Override
+        void packFields(MessagePacker packer, CellMessage message) throws IOException {
+            CellMessage.StartRecordsReceived receipt = (CellMessage.StartRecordsReceived) message;
+            packer.packLong(receipt.fence()).packInt(receipt.frame());
+        }
+
+        @Override
+        CellMessage unpack(MessageUnpacker unpacker) throws IOException {
+            return new CellMessage.StartRecordsReceived(
+                    unpacker.unpackLong(), unpacker.unpackInt());
+        }
     };
 
+    /** Largest accepted number of frames of one sender; the largest records need 160. */
+    private static final int MAX_RECORD_FRAMES = 1_000;
+
     private static final CellFields[] ALL = values();
 
     private final Class<? extends CellMessage> mType;
