Targets that restart under the same id are told apart

What callers saw: nothing yet; on a platform whose targets restart under their previous id, a restart would have gone unnoticed. The runs of before were taken to run on, ends of the new incarnation were dropped because their numbers were below the old cursor, and orders carried lease ends of a clock that no longer exists.

Cause: the id alone identified an incarnation. The field `born`, which such targets state, was not read.

Change: TargetInfo, TargetReport, StartAnswered and StopAnswered carry the number of the incarnation (0 when it isn't stated; then all is as before). The controller compares it with the known one: an answer of an earlier incarnation is ignored, one of a later incarnation, or a list entry that names it, replaces the target's state through the path of a replaced target. The id stays in use, so the new state takes the place of the old one at once and is called without waiting for the list. Crashes are recorded by incarnation, since a task may crash the same target twice.

Orders to the earlier incarnation may be carried out by the new one, whose clock and fence start anew. A lease call in flight may extend the new lease beyond the end of the term, so the target gets no work until the term is known to last longer.

--- a/core/src/main/java/org/boragegap/core/cell/CellAction.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellAction.java
@@ -66,7 +66,7 @@
      * so that the next controller knows of it.
      *
      * @param task the task
-     * @param target id of the target
+     * @param target name of the target's incarnation
      * @param evidence how certain it is that the task was running there
      */
     record BroadcastCrash(TaskName task, String target, CrashEvidence evidence)
--- a/core/src/main/java/org/boragegap/core/cell/CellEvent.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellEvent.java
@@ -45,7 +45,7 @@
      * Another controller has reported that a target crashed while a task ran there, or may have.
      *
      * @param task the task
-     * @param target id of the target
+     * @param target name of the target's incarnation
      * @param evidence how certain it is that the task was running there
      */
     record CrashReported(TaskName task, String target, CrashEvidence evidence)
@@ -106,9 +106,18 @@
      * @param fence fencing token of the term that ordered it; another term may have used the same
      *     run number
      * @param result result of the order
+     * @param incarnation number of the incarnation that answered; 0 if unknown
      */
-    record StartAnswered(String target, TaskName task, int run, long fence, OrderResult result)
-            implements CellEvent {}
+    record StartAnswered(
+            String target, TaskName task, int run, long fence, OrderResult result, long incarnation)
+            implements CellEvent {
+
+        /** Creates a result that doesn't state the number of the incarnation. */
+        public StartAnswered(
+                String target, TaskName task, int run, long fence, OrderResult result) {
+            this(target, task, run, fence, result, 0);
+        }
+    }
 
     /**
      * Result of an order to stop a run.
@@ -117,9 +126,17 @@
      * @param task the task
      * @param run run number
      * @param acknowledged true when the target has accepted the order
+     * @param incarnation number of the incarnation that answered; 0 if unknown
      */
-    record StopAnswered(String target, TaskName task, int run, boolean acknowledged)
-            implements CellEvent {}
+    record StopAnswered(
+            String target, TaskName task, int run, boolean acknowledged, long incarnation)
+            implements CellEvent {
+
+        /** Creates a result that doesn't state the number of the incarnation. */
+        public StopAnswered(String target, TaskName task, int run, boolean acknowledged) {
+            this(target, task, run, acknowledged, 0);
+        }
+    }
 
     /** Periodic timer event. */
     record Ticked() implements CellEvent {}
--- a/core/src/main/java/org/boragegap/core/cell/CellMessage.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMessage.java
@@ -84,7 +84,7 @@
      * there. The crash also counts in later terms.
      *
      * @param task the task
-     * @param target id of the target
+     * @param target name of the target's incarnation
      * @param evidence how certain it is that the task was running there
      */
     record Crashed(TaskName task, String target, CrashEvidence evidence) implements CellMessage {}
--- a/core/src/main/java/org/boragegap/core/cell/CorrelatedLossDetector.java
+++ b/core/src/main/java/org/boragegap/core/cell/CorrelatedLossDetector.java
@@ -36,7 +36,7 @@
         mLosses.values().removeIf(loss -> loss.atMs() < beforeMs);
         Set<String> jobs = new HashSet<>();
         target.runs().keySet().forEach(task -> jobs.add(task.job()));
-        mLosses.put(target.id(), new Loss(jobs, mTerm.nowMs()));
+        mLosses.put(target.info().incarnationName(), new Loss(jobs, mTerm.nowMs()));
     }
 
     /**
@@ -57,7 +57,7 @@
             }
             others +=
                     becameUnresponsive(target)
-                                    && !target.id().equals(run.target())
+                                    && !target.info().incarnationName().equals(run.target())
                                     && !runsJob(target, job)
                             ? 1
                             : 0;
--- a/core/src/main/java/org/boragegap/core/cell/CrashDetector.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashDetector.java
@@ -51,7 +51,7 @@
      * Called when the target has answered; if its leases had expired, a crash was not the cause.
      */
     void targetAnswered(Target target) {
-        mHistory.targetAnswered(target.id());
+        mHistory.targetAnswered(target.info());
     }
 
     /**
@@ -61,7 +61,7 @@
      * @param runs the runs that were lost with it
      */
     void targetReplaced(TargetInfo replaced, List<LostRun> runs) {
-        List<LostRun> expired = mHistory.takeExpired(replaced.id(), mTerm.nowMs());
+        List<LostRun> expired = mHistory.takeExpired(replaced, mTerm.nowMs());
         if (!replaced.draining()) {
             recordCrashes(runs, "replaced");
             recordCrashes(expired, "lease expired, then replaced");
--- a/core/src/main/java/org/boragegap/core/cell/CrashHistory.java
+++ b/core/src/main/java/org/boragegap/core/cell/CrashHistory.java
@@ -65,30 +65,32 @@
         }
     }
 
-    private record ExpiredTarget(String address, List<LostRun> runs, long atMs) {}
+    private record ExpiredTarget(TargetInfo info, List<LostRun> runs, long atMs) {}
 
     private final Map<TaskName, Crashes> mCrashes = new LinkedHashMap<>();
+
+    /** By the name of the incarnation. */
     private final Map<String, ExpiredTarget> mExpiredTargets = new HashMap<>();
 
     /** Records that the leases of the runs on a target have expired; it may have crashed. */
     void recordLeaseExpiry(TargetInfo target, List<LostRun> runs, long nowMs) {
         if (!runs.isEmpty()) {
-            mExpiredTargets.put(target.id(), new ExpiredTarget(target.address(), runs, nowMs));
+            mExpiredTargets.put(target.incarnationName(), new ExpiredTarget(target, runs, nowMs));
         }
     }
 
     /** Called when a target has answered, so it has not crashed. */
-    void targetAnswered(String target) {
-        mExpiredTargets.remove(target);
+    void targetAnswered(TargetInfo target) {
+        mExpiredTargets.remove(target.incarnationName());
     }
 
     /**
      * Removes and returns the runs whose leases expired on a target that is gone, so that they
      * count once.
      */
-    List<LostRun> takeExpired(String target, long nowMs) {
+    List<LostRun> takeExpired(TargetInfo target, long nowMs) {
         evict(nowMs);
-        return takeExpired(target);
+        return takeExpired(target.incarnationName());
     }
 
     private List<LostRun> takeExpired(String target) {
@@ -104,8 +106,9 @@
         evict(nowMs);
         List<LostRun> runs = new ArrayList<>();
         for (String target : List.copyOf(mExpiredTargets.keySet())) {
-            boolean sameAddress = mExpiredTargets.get(target).address().equals(successor.address());
-            if (sameAddress && !target.equals(successor.id())) {
+            TargetInfo info = mExpiredTargets.get(target).info();
+            boolean sameAddress = info.address().equals(successor.address());
+            if (sameAddress && !info.mayBeSameIncarnation(successor)) {
                 runs.addAll(takeExpired(target));
             }
         }
@@ -115,6 +118,8 @@
     /**
      * Records that a target crashed, or may have crashed, while running the task, as found by this
      * VM or another one. A crash that is reported again counts once.
+     *
+     * @param target name of the target's incarnation: each incarnation that the task crashes counts
      */
     void recordCrash(TaskName task, String target, CrashEvidence evidence, long nowMs) {
         Crashes known = crashes(task);
--- a/core/src/main/java/org/boragegap/core/cell/LeaseManager.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseManager.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 
@@ -68,7 +69,10 @@
     private final LongSupplier mCallNumbers;
     private List<TargetInfo> mAnnounced = List.of();
 
-    /** Replaced targets by id, with the time of replacement; the list may still contain them. */
+    /**
+     * Replaced targets by the name of their incarnation, with the time of replacement; the list may
+     * still contain them.
+     */
     private final Map<String, Long> mReplaced = new HashMap<>();
 
     /**
@@ -103,7 +107,7 @@
         Set<String> ids = new HashSet<>();
         for (TargetInfo info : infos) {
             ids.add(info.id());
-            if (mReplaced.containsKey(info.id())) {
+            if (mReplaced.containsKey(info.incarnationName())) {
                 continue;
             }
             Target known = mTerm.targets().get(info.id());
@@ -111,9 +115,12 @@
                 long schedulableFromMs = mTerm.nowMs() + ANNOUNCEMENT_DELAY_MS;
                 Target target = new Target(info, schedulableFromMs, earlierLeaseEndMs());
                 mTerm.targets().put(info.id(), target);
+                mRuns.carryOver(target);
                 mTerm.targetAppeared(info);
                 mCrashes.newTargetListed(info);
                 sendLongPoll(target);
+            } else if (known.isEarlierThan(info.incarnation())) {
+                laterIncarnation(known, info);
             } else {
                 logDrainStart(known, info);
                 known.updateInfo(info);
@@ -216,13 +223,36 @@
     }
 
     void leaseExtended(CellEvent.LeaseExtended event) {
-        Target target = mTerm.targets().get(event.target());
-        if (target == null) {
-            return;
+        // A restarted target has no such call: the report of its new incarnation may lack ends that
+        // this call, sent to the earlier one, has acknowledged.
+        answering(event.target(), event.report().incarnation())
+                .ifPresent(
+                        target ->
+                                target.calls()
+                                        .complete(event.call())
+                                        .ifPresent(
+                                                call ->
+                                                        leaseExtended(
+                                                                target, call, event.report())));
+    }
+
+    /**
+     * The target that has answered an order; empty for an answer of an earlier incarnation. An
+     * answer of a later one than known shows that the target has restarted.
+     *
+     * @param incarnation number of the incarnation that answered; 0 if unknown
+     */
+    Optional<Target> answering(String id, long incarnation) {
+        Target known = mTerm.targets().get(id);
+        if (known == null || known.isLaterThan(incarnation)) {
+            return Optional.empty();
         }
-        target.calls()
-                .complete(event.call())
-                .ifPresent(call -> leaseExtended(target, call, event.report()));
+        if (known.isEarlierThan(incarnation)) {
+            laterIncarnation(known, known.info().withIncarnation(incarnation));
+        }
+        Target target = mTerm.targets().get(id);
+        target.identify(incarnation);
+        return Optional.of(target);
     }
 
     private void leaseExtended(Target target, LeaseCalls.Call call, TargetReport report) {
@@ -290,11 +320,48 @@
      * ended.
      */
     void targetReplaced(Target target) {
-        List<LostRun> runs = mCrashes.recordLoss(target);
-        mRuns.releaseAll(target, "another incarnation");
         mTerm.targets().remove(target.id());
-        mReplaced.put(target.id(), mTerm.nowMs());
+        mReplaced.put(target.info().incarnationName(), mTerm.nowMs());
         mTerm.expectSuccessor(target.info());
+        release(target);
+    }
+
+    /** Called when a later incarnation of the target has appeared under the same id. */
+    private void laterIncarnation(Target known, TargetInfo info) {
+        if (known.reported()) {
+            targetRestarted(known, info);
+        } else {
+            // It may have restarted in an earlier term, whose runs its first report lists.
+            known.updateInfo(info);
+            mCrashes.newTargetListed(info);
+        }
+    }
+
+    /**
+     * Called when a target that has reported in this term has restarted: all that ran there has
+     * ended, but orders that are still on their way may reach the new incarnation.
+     */
+    private void targetRestarted(Target earlier, TargetInfo info) {
+        // Lease calls to the earlier incarnation may extend the lease of the new one.
+        long leaseEndMs = earlierLeaseEndMs() + UnansweredStarts.MAX_ORDER_DELAY_MS;
+        Target target = new Target(info, mTerm.nowMs(), leaseEndMs);
+        target.leaseMayLastUntil(earlierLeaseEndMs());
+        mTerm.targets().put(info.id(), target);
+        mTerm.log(
+                Decision.target(
+                        "restart",
+                        info.id(),
+                        "incarnation=" + info.incarnation() + " runs=" + earlier.runs().size(),
+                        "its runs have ended"));
+        mRuns.carryOver(earlier, target);
+        release(earlier);
+        sendLongPoll(target);
+    }
+
+    /** Releases all runs of a target that is gone and records its crash. */
+    private void release(Target target) {
+        List<LostRun> runs = mCrashes.recordLoss(target);
+        mRuns.releaseAll(target, "another incarnation");
         mCrashes.targetReplaced(target.info(), runs);
     }
 
--- a/core/src/main/java/org/boragegap/core/cell/LostRun.java
+++ b/core/src/main/java/org/boragegap/core/cell/LostRun.java
@@ -9,7 +9,7 @@
  *
  * @param task the task
  * @param number the run's number
- * @param target id of the target
+ * @param target name of the target's incarnation
  * @param evidence how certain it is that the task was running there
  * @param orderedMs when its start was ordered
  */
@@ -31,6 +31,10 @@
 
     private static LostRun of(Run run, CrashEvidence evidence) {
         return new LostRun(
-                run.task().name(), run.number(), run.target().id(), evidence, run.orderedMs());
+                run.task().name(),
+                run.number(),
+                run.target().info().incarnationName(),
+                evidence,
+                run.orderedMs());
     }
 }
--- a/core/src/main/java/org/boragegap/core/cell/RunTracker.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunTracker.java
@@ -46,11 +46,13 @@
     private JobLifecycle mJobs;
     private LeaseManager mLeases;
     private final CrashDetector mCrashes;
+    private final UnansweredStarts mUnansweredStarts;
 
     RunTracker(Term term, RunTimeEstimator runTimes, CrashDetector crashes) {
         mTerm = term;
         mRunTimes = runTimes;
         mCrashes = crashes;
+        mUnansweredStarts = new UnansweredStarts(term);
         mHealth = new TargetHealth(term, runTimes);
     }
 
@@ -107,10 +109,11 @@
     }
 
     void startAnswered(CellEvent.StartAnswered event) {
-        Target target = mTerm.targets().get(event.target());
-        if (target == null) {
-            return;
-        }
+        mLeases.answering(event.target(), event.incarnation())
+                .ifPresent(target -> startAnswered(target, event));
+    }
+
+    private void startAnswered(Target target, CellEvent.StartAnswered event) {
         if (event.result().answeredByTarget()) {
             mLeases.targetAnswered(target);
         }
@@ -196,12 +199,15 @@
     }
 
     void stopAnswered(CellEvent.StopAnswered event) {
-        Target target = mTerm.targets().get(event.target());
-        if (target == null || !event.acknowledged()) {
+        if (!event.acknowledged()) {
             return;
         }
-        mLeases.targetAnswered(target);
-        target.run(event.task(), event.run()).ifPresent(this::stopAcknowledged);
+        mLeases.answering(event.target(), event.incarnation())
+                .ifPresent(
+                        target -> {
+                            mLeases.targetAnswered(target);
+                            target.run(event.task(), event.run()).ifPresent(this::stopAcknowledged);
+                        });
     }
 
     private void stopAcknowledged(Run run) {
@@ -244,6 +250,7 @@
                 continue;
             }
             if (run.absenceIsConclusive(sentMs)) {
+                mUnansweredStarts.released(run);
                 release(run, "not in the target's report");
             } else if (run.unconfirmedBefore(sentMs) && !run.stopRequested()) {
                 stop(run);
@@ -415,11 +422,23 @@
      */
     void releaseAll(Target target, String cause) {
         for (Run run : new ArrayList<>(target.runs().values())) {
+            mUnansweredStarts.released(run);
             release(run, cause);
         }
         target.markLost();
     }
 
+    /** Carries over starts that a target left unanswered before it was last forgotten. */
+    void carryOver(Target target) {
+        mUnansweredStarts.carryOver(target).forEach(this::stop);
+    }
+
+    /** Carries over starts that the earlier incarnation of a target left unanswered. */
+    void carryOver(Target earlier, Target target) {
+        mUnansweredStarts.takeFrom(earlier);
+        carryOver(target);
+    }
+
     void tick() {
         for (Target target : mTerm.targets().values()) {
             for (Run run : new ArrayList<>(target.runs().values())) {
--- a/core/src/main/java/org/boragegap/core/cell/Target.java
+++ b/core/src/main/java/org/boragegap/core/cell/Target.java
@@ -1,9 +1,11 @@
 package org.boragegap.core.cell;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The state of one target: its lease, its clock, its runs and its free capacity.
@@ -28,6 +30,10 @@
     private final long mSchedulableFromMs;
     private final Map<TaskName, Run> mRuns = new LinkedHashMap<>();
     private final Map<ForeignRun, Long> mForeignRuns = new HashMap<>();
+
+    /** Runs whose start was ordered from an earlier incarnation; see {@link UnansweredStarts}. */
+    private final Set<Run> mCarriedOver = new HashSet<>();
+
     private int mUsedCpu;
     private int mUsedMemory;
     private int mUsedAccelerators;
@@ -36,6 +42,7 @@
     private long mClockMs;
     private long mClockReadMs;
     private long mLeaseEndMs;
+    private long mUncappedLeaseEndMs;
     private long mAcknowledged;
     private final LeaseCalls mCalls = new LeaseCalls();
     private final RoundTripEstimator mRoundTrips = new RoundTripEstimator();
@@ -70,11 +77,33 @@
         return mInfo.id();
     }
 
+    /** Takes what the platform lists; a list entry of an earlier incarnation is outdated. */
     void updateInfo(TargetInfo info) {
-        mInfo = info;
+        if (info.incarnation() == 0) {
+            mInfo = info.withIncarnation(mInfo.incarnation());
+        } else if (info.incarnation() >= mInfo.incarnation()) {
+            mInfo = info;
+        }
         mUnlistedSinceMs = -1;
     }
 
+    /** Records the number of the incarnation when it becomes known. */
+    void identify(long incarnation) {
+        if (mInfo.incarnation() == 0 && incarnation != 0) {
+            mInfo = mInfo.withIncarnation(incarnation);
+        }
+    }
+
+    /** True when the given incarnation is known to be later than this one. */
+    boolean isEarlierThan(long incarnation) {
+        return mInfo.incarnation() != 0 && incarnation > mInfo.incarnation();
+    }
+
+    /** True when the given incarnation is known to be earlier than this one. */
+    boolean isLaterThan(long incarnation) {
+        return incarnation != 0 && incarnation < mInfo.incarnation();
+    }
+
     void markUnlisted(long nowMs) {
         if (mUnlistedSinceMs < 0) {
             mUnlistedSinceMs = nowMs;
@@ -128,8 +157,15 @@
         mUsedAccelerators += step.accelerators();
     }
 
+    /** Adds a run that an earlier incarnation was ordered to start, and this one may start. */
+    void addCarriedOver(Run run) {
+        add(run);
+        mCarriedOver.add(run);
+    }
+
     void remove(Run run) {
         StepRequest step = run.task().step();
+        mCarriedOver.remove(run);
         if (mRuns.remove(run.task().name(), run)) {
             mUsedCpu -= step.cpuMillis();
             mUsedMemory -= step.memoryMb();
@@ -160,6 +196,7 @@
                 && !mCalls.unresponsive()
                 && !mInfo.draining()
                 && mForeignRuns.isEmpty()
+                && mCarriedOver.isEmpty()
                 && nowMs >= mSchedulableFromMs
                 && nowMs >= mUnreachableUntilMs
                 && nowMs >= mQuarantinedUntilMs
@@ -221,6 +258,22 @@
         return mReported && nowMs > mLeaseEndMs + slackMs;
     }
 
+    /**
+     * Records that an order to an earlier incarnation may have extended the lease of this one to
+     * the given time. Its lease end was limited to the term by the clock of the earlier one.
+     */
+    void leaseMayLastUntil(long endMs) {
+        mUncappedLeaseEndMs = endMs;
+    }
+
+    /**
+     * True when no lease of the target lasts longer than the time until which no other VM can
+     * control the cell. The next controller starts its tasks elsewhere after that time.
+     */
+    boolean leaseEndsBy(long exclusiveUntilMs) {
+        return mUncappedLeaseEndMs <= exclusiveUntilMs;
+    }
+
     boolean lost() {
         return mLost;
     }
--- a/core/src/main/java/org/boragegap/core/cell/Term.java
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -135,7 +135,9 @@
      * True when the target can take work now, and operators don't want its domain to be evacuated.
      */
     boolean acceptsWork(Target target) {
-        return target.schedulable(mNowMs) && mEvacuations.allows(target.info());
+        return target.schedulable(mNowMs)
+                && target.leaseEndsBy(mExclusiveUntilMs)
+                && mEvacuations.allows(target.info());
     }
 
     /** Crashed targets, by task. */
--- a/entry/src/main/java/org/boragegap/entry/cell/OrderSender.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/OrderSender.java
@@ -3,6 +3,7 @@
 import java.util.function.Consumer;
 import org.boragegap.core.cell.CellAction;
 import org.boragegap.core.cell.CellEvent;
+import org.boragegap.core.cell.OrderResult;
 import org.boragegap.platform.TargetOrderClient;
 
 /** Sends a cell's orders to targets and reports their results as events. */
@@ -38,19 +39,28 @@
         String id = order.target().id();
         mOrders.start(
                 order,
-                result ->
+                answer ->
                         mEvents.accept(
                                 new CellEvent.StartAnswered(
-                                        id, order.task(), order.run(), order.fence(), result)));
+                                        id,
+                                        order.task(),
+                                        order.run(),
+                                        order.fence(),
+                                        answer.result(),
+                                        answer.incarnation())));
     }
 
     void stop(CellAction.StopRun order) {
         String id = order.target().id();
         mOrders.stop(
                 order,
-                acknowledged ->
+                answer ->
                         mEvents.accept(
                                 new CellEvent.StopAnswered(
-                                        id, order.task(), order.run(), acknowledged)));
+                                        id,
+                                        order.task(),
+                                        order.run(),
+                                        answer.result() == OrderResult.DONE,
+                                        answer.incarnation())));
     }
 }
--- a/wire/src/main/java/org/boragegap/wire/RecordFields.java
+++ b/wire/src/main/java/org/boragegap/wire/RecordFields.java
@@ -133,6 +133,7 @@
             packer.packString(label);
         }
         packer.packBoolean(target.enforcesCapacity()).packBoolean(target.draining());
+        packer.packLong(target.incarnation());
     }
 
     static TargetInfo unpackTarget(MessageUnpacker unpacker) throws IOException {
@@ -146,7 +147,8 @@
                 unpacker.unpackInt(),
                 unpackStrings(unpacker),
                 unpacker.unpackBoolean(),
-                unpacker.unpackBoolean());
+                unpacker.unpackBoolean(),
+                unpacker.unpackLong());
     }
 
     private static Set<String> unpackStrings(MessageUnpacker unpacker) throws IOException {
--- a/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
+++ b/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
@@ -87,7 +87,8 @@
                 new JobRequest(
                         text, "q", "s", 1, count, 1.5, number, text, List.of(step, step), number);
         TargetInfo target =
-                new TargetInfo(text, "h:1", "s", "d", count, 1, 2, Set.of("a", text), flag, !flag);
+                new TargetInfo(
+                        text, "h:1", "s", "d", count, 1, 2, Set.of("a", text), flag, !flag, number);
         List<CellMessage> messages =
                 List.of(
                         new CellMessage.Offer(number, job, 1, 2, count, number),
