Histories: targets restart under the same id

Guards against double runs and exceeded capacity when targets restart under the same id while all other failures occur: FakeTarget forgets all, restarts its clock, fence and numbers of ends, and carries out orders that were sent to its earlier incarnation. Property with seed 18, 2,000 tries; the other properties, seeds and bounds are as before, and their histories draw the same numbers (mass crashes are now scheduled by FakePlatform).

The stand-in of a target states its incarnation and restarts on request.

--- a/core/src/test/java/org/boragegap/core/cell/CellHistoriesProperties.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistoriesProperties.java
@@ -83,6 +83,16 @@
         assertHolds(seed, CellHistory::playMassCrashes);
     }
 
+    /**
+     * Targets restart under the same id while all other failures occur: what the controller knew of
+     * the earlier incarnation must not be taken for the state of the next one, and orders may reach
+     * that one seconds late.
+     */
+    @Property(tries = 2_000, seed = "18")
+    void guaranteesHoldWhenTargetsRestartUnderTheSameId(@ForAll long seed) {
+        assertHolds(seed, CellHistory::playRestartsUnderTheSameId);
+    }
+
     /** Guards against a caller being told that its job never runs when a task of it has started. */
     @Property(tries = 500, seed = "17")
     void noJobIsRefusedAfterATaskHasStarted(@ForAll long seed) {
--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -103,10 +103,13 @@
 
     /** Simulates the usual failures while several targets crash at once, repeatedly. */
     List<String> playMassCrashes() {
-        int waves = 2 + mRandom.nextInt(3);
-        for (int i = 0; i < waves; i++) {
-            after(1_700 + mRandom.nextLong(FAULTS_UNTIL_MS - 1_700), mPlatform::crashSome);
-        }
+        mPlatform.scheduleMassCrashes(1_700, FAULTS_UNTIL_MS);
+        return play();
+    }
+
+    /** Simulates the usual failures while targets restart under the same id. */
+    List<String> playRestartsUnderTheSameId() {
+        mPlatform.scheduleRestarts(1_700, FAULTS_UNTIL_MS);
         return play();
     }
 
--- a/core/src/test/java/org/boragegap/core/cell/FakePlatform.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakePlatform.java
@@ -32,6 +32,7 @@
     private final Map<String, FakeTarget> mTargets = new HashMap<>();
     private final Set<String> mUnlisted = new HashSet<>();
     private final Set<String> mEvacuated = new HashSet<>();
+    private boolean mStatesIncarnations;
     private int mNextTarget = 1;
 
     FakePlatform(SimulatedClock clock, SplittableRandom random, InvariantChecker oracle) {
@@ -49,7 +50,12 @@
 
     private void addTarget(String address, String domain) {
         String id = "t" + mNextTarget++;
-        mTargets.put(id, FakeTarget.createRandom(id, address, domain, mRandom, TASK_CPU, mOracle));
+        FakeTarget target =
+                FakeTarget.createRandom(id, address, domain, mRandom, TASK_CPU, mOracle);
+        mTargets.put(id, target);
+        if (mStatesIncarnations) {
+            target.stateIncarnation();
+        }
     }
 
     /** Starts advancing the targets' time periodically. */
@@ -97,7 +103,7 @@
      * Crashes some targets at the same time; each comes back as another incarnation after a delay
      * of its own.
      */
-    void crashSome() {
+    private void crashSome() {
         long span = MAX_MASS_RESTART_DELAY_MS - MIN_MASS_RESTART_DELAY_MS + 1;
         for (String id : randomTargets()) {
             crash(mTargets.get(id), MIN_MASS_RESTART_DELAY_MS + mRandom.nextLong(span));
@@ -112,6 +118,35 @@
         }
     }
 
+    /** Targets state their incarnation, and some restart under the same id. */
+    void scheduleRestarts(long fromMs, long untilMs) {
+        mStatesIncarnations = true;
+        mTargets.values().forEach(FakeTarget::stateIncarnation);
+        schedule(3 + mRandom.nextInt(6), fromMs, untilMs, this::restartOne);
+    }
+
+    /** Several targets crash at once, repeatedly. */
+    void scheduleMassCrashes(long fromMs, long untilMs) {
+        schedule(2 + mRandom.nextInt(3), fromMs, untilMs, this::crashSome);
+    }
+
+    private void schedule(int times, long fromMs, long untilMs, Runnable fault) {
+        for (int i = 0; i < times; i++) {
+            mClock.after(fromMs + mRandom.nextLong(untilMs - fromMs), fault);
+        }
+    }
+
+    /** Crashes a random target, which comes back under the same id. */
+    private void restartOne() {
+        List<String> ids = ids();
+        FakeTarget target = mTargets.get(ids.get(mRandom.nextInt(ids.size())));
+        if (target.alive()) {
+            target.crash();
+            long backAfterMs = mRandom.nextLong(MAX_MASS_RESTART_DELAY_MS);
+            mClock.after(backAfterMs, () -> target.restart(mClock.nowMs()));
+        }
+    }
+
     /** True when a target is alive at the address, whatever its id. */
     boolean isTargetAliveAt(String address) {
         return mTargets.values().stream()
--- a/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
@@ -61,6 +61,7 @@
     private long mFence;
     private long mLeaseEndMs;
     private long mNextEndSequence = 1;
+    private long mStartedMs;
     private long mNowMs;
     private boolean mAlive = true;
 
@@ -110,7 +111,29 @@
                         mInfo.accelerators(),
                         mInfo.labels(),
                         mInfo.enforcesCapacity(),
-                        mInfo.draining());
+                        mInfo.draining(),
+                        mInfo.incarnation());
+    }
+
+    /** States from now on which incarnation of this id the target is. */
+    void stateIncarnation() {
+        mInfo = mInfo.withIncarnation(mInfo.incarnation() + 1);
+    }
+
+    /**
+     * Restarts the crashed target under the same id: it knows nothing from before, and its counters
+     * and its clock start anew.
+     */
+    void restart(long nowMs) {
+        stateIncarnation();
+        mSeenRuns.clear();
+        mEnded.clear();
+        mFence = 0;
+        mLeaseEndMs = 0;
+        mNextEndSequence = 1;
+        mStartedMs = nowMs;
+        mAlive = true;
+        advanceTo(nowMs);
     }
 
     private int effectiveCapacity() {
@@ -124,7 +147,7 @@
     }
 
     private long clock() {
-        return (long) (mNowMs * mClockRate) + 50_000;
+        return (long) ((mNowMs - mStartedMs) * mClockRate) + 50_000;
     }
 
     void crash() {
@@ -157,7 +180,8 @@
                         order.task(),
                         order.run(),
                         order.fence(),
-                        startResult(order, takesMs, fails)));
+                        startResult(order, takesMs, fails),
+                        mInfo.incarnation()));
     }
 
     private OrderResult startResult(CellAction.StartRun order, long takesMs, boolean fails) {
@@ -194,7 +218,9 @@
                         order.task(), new Running(order.run(), mNowMs + STOP_MS, EndCause.STOPPED));
             }
         }
-        reply.accept(new CellEvent.StopAnswered(mInfo.id(), order.task(), order.run(), taken));
+        reply.accept(
+                new CellEvent.StopAnswered(
+                        mInfo.id(), order.task(), order.run(), taken, mInfo.incarnation()));
     }
 
     /**
@@ -233,6 +259,6 @@
         List<TargetReport.ActiveRun> activeRuns = new ArrayList<>();
         mRunning.forEach(
                 (task, run) -> activeRuns.add(new TargetReport.ActiveRun(task, run.mRun, 50)));
-        return new TargetReport(clock(), activeRuns, List.copyOf(mEnded));
+        return new TargetReport(clock(), activeRuns, List.copyOf(mEnded), mInfo.incarnation());
     }
 }
--- a/standin/src/main/java/org/boragegap/standin/CellTargetStandin.java
+++ b/standin/src/main/java/org/boragegap/standin/CellTargetStandin.java
@@ -67,6 +67,11 @@
     private int mMaxRunning;
     private AnswerMode mAnswerMode = AnswerMode.PROMPT;
 
+    /** Start of this incarnation in Unix ms; 0 while it is not stated. */
+    private long mIncarnation;
+
+    private long mStartClockMs;
+
     private CellTargetStandin(
             String id,
             String host,
@@ -111,6 +116,34 @@
         register("draining");
     }
 
+    /**
+     * States from now on when this target started, as targets do that may restart under the same
+     * id.
+     */
+    public synchronized void stateStart() {
+        mIncarnation = System.currentTimeMillis();
+        register("ready");
+    }
+
+    /**
+     * Restarts this target under the same id: it loses all that it ran and knew, and its clock
+     * starts anew. Pending calls get no answer; delayed orders are carried out by the new
+     * incarnation.
+     */
+    public synchronized void restart() {
+        mRunning.clear();
+        mHighestRuns.clear();
+        mEnded.clear();
+        mHeldCalls.forEach(call -> call.request().drop());
+        mHeldCalls.clear();
+        mFence = 0;
+        mLeaseEndMs = 0;
+        mNextCursor = 1;
+        mStartClockMs = System.nanoTime() / 1_000_000;
+        mIncarnation = Math.max(mIncarnation + 1, System.currentTimeMillis());
+        register("ready");
+    }
+
     private void register(String state) {
         ObjectNode entry = PlatformJson.object();
         entry.put("Service", mService);
@@ -123,9 +156,14 @@
         entry.put("Sequence", 1);
         entry.putObject("Capacity").put("Cpu", 2_000).put("MemMb", 1_000).put("Gpu", 0);
         entry.putArray("Labels").add("a").add("r1-1");
+        addStart(entry);
         mStore.put("keyed.servers", mId, entry.toString());
     }
 
+    private ObjectNode addStart(ObjectNode node) {
+        return mIncarnation == 0 ? node : node.put("born", mIncarnation);
+    }
+
     /** Sets how orders to start and stop runs are answered from now on. */
     public synchronized void answerMode(AnswerMode answerMode) {
         mAnswerMode = answerMode;
@@ -141,8 +179,8 @@
         return mMaxRunning;
     }
 
-    private static long clockMs() {
-        return System.nanoTime() / 1_000_000 + CLOCK_OFFSET_MS;
+    private long clockMs() {
+        return System.nanoTime() / 1_000_000 - mStartClockMs + CLOCK_OFFSET_MS;
     }
 
     private void handle(IncomingRequest request) {
@@ -185,14 +223,16 @@
         if (mAnswerMode != AnswerMode.PROMPT) {
             request.drop();
         } else if (reason.isEmpty()) {
-            request.reply(OK, "{\"ClockMs\":" + clockMs() + "}");
+            ObjectNode answer = PlatformJson.object().put("ClockMs", clockMs());
+            request.reply(OK, addStart(answer).toString());
         } else {
             request.reply(CONFLICT, refusal(reason));
         }
     }
 
-    private static String refusal(String reason) {
-        return PlatformJson.object().put("ClockMs", clockMs()).put("Reason", reason).toString();
+    private String refusal(String reason) {
+        ObjectNode answer = PlatformJson.object().put("ClockMs", clockMs());
+        return addStart(answer).put("Reason", reason).toString();
     }
 
     private void extendLease(long untilMs) {
@@ -264,7 +304,7 @@
     }
 
     private String report() {
-        ObjectNode report = PlatformJson.object();
+        ObjectNode report = addStart(PlatformJson.object());
         report.put("ClockMs", clockMs());
         ArrayNode running = report.putArray("Running");
         mRunning.forEach(
