--- a/core/src/main/java/org/boragegap/core/cell/RunTracker.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunTracker.java
@@ -107,10 +107,11 @@
     }
 
     void startAnswered(CellEvent.StartAnswered event) {
-        Target target = mTerm.targets().get(event.target());
-        if (target == null) {
-            return;
-        }
+        mLeases.answering(event.target(), event.incarnation())
+                .ifPresent(target -> startAnswered(target, event));
+    }
+
+    private void startAnswered(Target target, CellEvent.StartAnswered event) {
         if (event.result().answeredByTarget()) {
             mLeases.targetAnswered(target);
         }
@@ -196,12 +197,15 @@
     }
 
     void stopAnswered(CellEvent.StopAnswered event) {
-        Target target = mTerm.targets().get(event.target());
-        if (target == null || !event.acknowledged()) {
+        if (!event.acknowledged()) {
             return;
         }
-        mLeases.targetAnswered(target);
-        target.run(event.task(), event.run()).ifPresent(this::stopAcknowledged);
+        mLeases.answering(event.target(), event.incarnation())
+                .ifPresent(
+                        target -> {
+                            mLeases.targetAnswered(target);
+                            target.run(event.task(), event.run()).ifPresent(this::stopAcknowledged);
+                        });
     }
 
     private void stopAcknowledged(Run run) {
@@ -244,6 +248,7 @@
                 continue;
             }
             if (run.absenceIsConclusive(sentMs)) {
+                mTerm.unansweredStarts().released(run);
                 release(run, "not in the target's report");
             } else if (run.unconfirmedBefore(sentMs) && !run.stopRequested()) {
                 stop(run);
@@ -415,6 +420,7 @@
      */
     void releaseAll(Target target, String cause) {
         for (Run run : new ArrayList<>(target.runs().values())) {
+            mTerm.unansweredStarts().released(run);
             release(run, cause);
         }
         target.markLost();
--- a/core/src/main/java/org/boragegap/core/cell/Term.java
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -39,6 +39,7 @@
                             .thenComparingLong(CellJob::latestStartMs)
                             .thenComparing(CellJob::id));
     private final Map<String, ExpectedSuccessor> mExpectedSuccessors = new HashMap<>();
+    private final UnansweredStarts mUnansweredStarts = new UnansweredStarts(this);
     private boolean mTargetsListed;
     private boolean mRunSeen;
     private long mAnswerLostMs = Long.MIN_VALUE / 2;
@@ -100,6 +101,11 @@
         return mTargets;
     }
 
+    /** Starts that a next incarnation of their target may still carry out. */
+    UnansweredStarts unansweredStarts() {
+        return mUnansweredStarts;
+    }
+
     /** Records that the platform's list of targets was read in this term. */
     void targetsListed() {
         mTargetsListed = true;
@@ -140,7 +146,9 @@
      * True when the target can take work now, and operators don't want its domain to be evacuated.
      */
     boolean acceptsWork(Target target) {
-        return target.schedulable(mNowMs) && mEvacuations.allows(target.info());
+        return target.schedulable(mNowMs)
+                && target.leaseEndsBy(mExclusiveUntilMs)
+                && mEvacuations.allows(target.info());
     }
 
     /** Crashed targets, by task. */
