Placement by speed: wait only for targets that can take the task

A long task of a service whose targets are all slow waited for faster targets of another service, and started too late to end in time. Cause: only the speed of the cell's faster targets was looked at. Now a task waits only if such a target accepts work and could hold it; a second pass over the targets, made only for a task that is about to wait. The test fails without the check.

--- a/core/src/main/java/org/boragegap/core/cell/Placement.java
+++ b/core/src/main/java/org/boragegap/core/cell/Placement.java
@@ -31,13 +31,29 @@
         Target best = null;
         for (Target target : mTerm.targets().values()) {
             if (canPlace(task, target)) {
-                double measured = mTerm.speeds().relative(target.measuredSpeed().speed());
-                double speed = isFar(task.step(), target) ? measured / mFarFactor : measured;
+                double speed = relativeSpeed(task.step(), target);
                 best = mChoice.offer(speed, target.freeCpu()) ? target : best;
             }
         }
         boolean waits = mChoice.prefersToWaitFor(mTerm.speeds().faster());
-        return waits ? Optional.empty() : Optional.ofNullable(best);
+        return waits && isFasterTargetBusy(task) ? Optional.empty() : Optional.ofNullable(best);
+    }
+
+    /** True when the task has to wait for a target on which it is expected to end in time. */
+    private boolean isFasterTargetBusy(CellTask task) {
+        for (Target target : mTerm.targets().values()) {
+            if (mChoice.prefersToWaitFor(relativeSpeed(task.step(), target))
+                    && mTerm.acceptsWork(target)
+                    && isCompatible(task.job().request(), task.step(), target.info())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private double relativeSpeed(StepRequest step, Target target) {
+        double speed = mTerm.speeds().relative(target.measuredSpeed().speed());
+        return isFar(step, target) ? speed / mFarFactor : speed;
     }
 
     private Optional<Target> chooseFastest(CellTask task) {
--- a/core/src/test/java/org/boragegap/core/cell/SpeedPlacementTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/SpeedPlacementTest.java
@@ -2,7 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.boragegap.core.speed.CellSpeeds;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -110,4 +114,56 @@
         System.out.printf("capacity lost: in time %.3f, off %.3f%n", inTime[1], inTime[0]);
         assertThat(inTime[1]).isAtLeast(inTime[0]);
     }
+
+    /** One long job, and free targets on which it ends late. */
+    @Nested
+    final class SlowTargetsFree {
+        private final Evacuations mEvacuations = new Evacuations();
+        private final Term mTerm =
+                new Term(1, 0, mEvacuations, new CrashHistory(), new RecentJobs<>());
+        private final Placement mPlacement = new Placement(mTerm, ON, new RunTimeEstimator());
+
+        private SlowTargetsFree() {
+            mEvacuations.update(Set.of());
+            mTerm.beginEvent(0, new ArrayList<>());
+            mTerm.useSpeeds(CellSpeeds.create(true));
+        }
+
+        private Target add(String id, String service, long runMs) {
+            TargetInfo info =
+                    new TargetInfo(id, id, service, "domain", 16_000, 0, 0, Set.of(), false, false);
+            Target target = new Target(info, 0, 0);
+            target.updateClock(0, 0);
+            for (int run = 0; run < 100; run++) {
+                target.addSpeedSample(100, runMs);
+            }
+            mTerm.targets().put(id, target);
+            mTerm.measureSpeeds();
+            return target;
+        }
+
+        private CellTask longTask(String id) {
+            StepRequest step = StepRequest.cpuOnly(1, 16_000, 760);
+            JobRequest request =
+                    new JobRequest(id, "queue", "service", 2, 3, 1.6, 60, "", List.of(step), 1);
+            return new CellJob(request, 0, 1_500, 1_000, 760, 1).tasks().get(0);
+        }
+
+        @Test
+        void longTaskWaitsForBusyFastTarget() {
+            add("slow", "service", 143);
+            Target fast = add("fast", "service", 59);
+            fast.add(new Run(longTask("a"), 1, fast, 0, Run.State.RUNNING));
+            assertThat(mPlacement.choose(longTask("b")).isPresent()).isFalse();
+        }
+
+        /** Guards against a wait for targets of another service, which never take the task. */
+        @Test
+        void doesNotWaitForTargetOfOtherService() {
+            Target slow = add("slow", "service", 143);
+            Target fast = add("fast", "other", 59);
+            fast.add(new Run(longTask("a"), 1, fast, 0, Run.State.RUNNING));
+            assertThat(mPlacement.choose(longTask("b"))).isEqualTo(Optional.of(slow));
+        }
+    }
 }
