Retry-After of refused jobs is spread by the id's hash

Callers refused together were all told to come back after the same time, 1,000 ms at least, so a burst came back whole. AdmissionControl had its own rule; core.limit.RetryAfter now serves both dispatchers. Delays of a cell are whole seconds, half of them 1 s and half 2 s at the minimum: JobProtocol rounds up, and a spread over 1,000 to 2,000 ms would have become 2 s for nearly all callers. Of 1,000 consecutive ids, at least 400 get each (RetryAfterTest).

--- a/core/src/main/java/org/boragegap/core/cell/AdmissionControl.java
+++ b/core/src/main/java/org/boragegap/core/cell/AdmissionControl.java
@@ -27,9 +27,6 @@
      */
     private static final double MAX_FORECAST_SHARE = 0.8;
 
-    /** Minimum retry delay given to a refused caller, in ms. */
-    private static final long MIN_RETRY_AFTER_MS = 1_000;
-
     /** Share of its expected time that a run is assumed to need still, however long it has run. */
     private static final double MIN_REMAINING_SHARE = 0.1;
 
@@ -160,8 +157,4 @@
         double share = mTerm.speeds().differ() ? MAX_FORECAST_SHARE : MAX_SLACK_SHARE;
         return expectedWaitMs > share * slackMs;
     }
-
-    long retryAfterMs(long expectedWaitMs) {
-        return Math.max(MIN_RETRY_AFTER_MS, expectedWaitMs);
-    }
 }
--- a/core/src/main/java/org/boragegap/core/cell/JobLifecycle.java
+++ b/core/src/main/java/org/boragegap/core/cell/JobLifecycle.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
+import org.boragegap.core.limit.RetryAfter;
 
 /** Admits or refuses offered jobs, and reports to the entry VMs how they ended. */
 final class JobLifecycle {
@@ -157,7 +158,8 @@
         Verdict verdict =
                 job.mayHaveStarted() || startedIn.isPresent()
                         ? new Verdict.InDoubt(reason)
-                        : new Verdict.Declined(reason, mAdmission.retryAfterMs(expectedWaitMs));
+                        : new Verdict.Declined(
+                                reason, RetryAfter.wholeSecondsMs(expectedWaitMs, job.id()));
         mTerm.log(
                 Decision.job(
                         "refuse",
