--- a/core/src/test/java/org/boragegap/core/cell/HardLoad.java
+++ b/core/src/test/java/org/boragegap/core/cell/HardLoad.java
@@ -101,7 +101,8 @@
         List<LoadSimulation.Arrival> all = new ArrayList<>();
         for (int queue = 0; queue < mKinds.size(); queue++) {
             LoadSimulation.Kind kind = mKinds.get(queue);
-            double maxPerMs = 4 * load * kind.rate() / CELLS / 1_000;
+            double headroom = headroom(bursts, queue);
+            double maxPerMs = headroom * load * kind.rate() / CELLS / 1_000;
             double atMs = 0;
             while (true) {
                 atMs += -Math.log(1 - random.nextDouble()) / maxPerMs;
@@ -113,7 +114,7 @@
                                 ? Math.max(1, bursts[(int) (atMs / BURST_PERIOD_MS)][queue])
                                 : 1;
                 double wave = 1 + mWave * Math.sin(2 * Math.PI * atMs / WAVE_MS);
-                if (random.nextDouble() < wave * burst / 4) {
+                if (random.nextDouble() < wave * burst / headroom) {
                     all.add(arrival(random, (long) atMs, kind));
                 }
             }
@@ -126,6 +127,15 @@
         return numbered;
     }
 
+    /** Upper bound of the wave times the bursts of a queue. */
+    private double headroom(double[][] bursts, int queue) {
+        double max = 4;
+        for (double[] burst : bursts) {
+            max = Math.max(max, (1 + mWave) * burst[queue]);
+        }
+        return max;
+    }
+
     private static LoadSimulation.Arrival arrival(
             SplittableRandom random, long atMs, LoadSimulation.Kind kind) {
         double width = -Math.log(1 - random.nextDouble()) * kind.width();
