--- a/core/src/main/java/org/boragegap/core/cell/JobLifecycle.java
+++ b/core/src/main/java/org/boragegap/core/cell/JobLifecycle.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
+import org.boragegap.core.limit.RetryAfter;
 import org.boragegap.core.records.RefusalBasis;
 
 /** Admits or refuses offered jobs, and reports to the entry VMs how they ended. */
@@ -103,6 +104,7 @@
                         objectiveMs,
                         criticalPathMs,
                         offer.controllers());
+        mAdmission.setTails(job);
         job.addOffer(offer.entryVm(), offer.number());
         // Checked before any refusal or failure: tasks known to be done need no capacity and have
         // not failed.
@@ -161,7 +163,8 @@
                         : mTerm.records().basis(job.id(), mTerm.nowMs());
         Verdict verdict =
                 basis.allowsRefusal()
-                        ? new Verdict.Declined(reason, mAdmission.retryAfterMs(expectedWaitMs))
+                        ? new Verdict.Declined(
+                                reason, RetryAfter.wholeSecondsMs(expectedWaitMs, job.id()))
                         : new Verdict.InDoubt(reason);
         mTerm.log(
                 Decision.job(
