--- a/core/src/test/java/org/boragegap/core/cell/SpeedPlacementTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/SpeedPlacementTest.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.boragegap.core.records.KnownRecords;
+import org.boragegap.core.records.RecentJobs;
 import org.boragegap.core.speed.CellSpeeds;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -120,7 +122,13 @@
     final class SlowTargetsFree {
         private final Evacuations mEvacuations = new Evacuations();
         private final Term mTerm =
-                new Term(1, 0, mEvacuations, new CrashHistory(), new RecentJobs<>());
+                new Term(
+                        1,
+                        0,
+                        mEvacuations,
+                        new CrashHistory(),
+                        new RecentJobs<>(),
+                        KnownRecords.withoutEarlierTerms());
         private final Placement mPlacement = new Placement(mTerm, ON, new RunTimeEstimator());
 
         private SlowTargetsFree() {
