The previous controller makes up for the records of a restarted VM

Callers were answered in doubt for 10 s after any VM had restarted, if the controller changed in that time, so throughout a rolling restart.

Cause: what the earlier process of that VM had offered counted as unknown, although the controller of that time knew which jobs it had started.

Change: with its start records a VM sends its last own term: the fencing token, when the group last confirmed it and from when on its records were reliable (EarlierTerm); and it passes on what it had learnt of earlier terms. Records that were lost before that confirmation are made up for: no other controller can have started tasks between the beginning of the term and then. The age of the confirmation is counted on both clocks, since a paused controller doesn't see that it has been replaced. A new process counts the VMs lost before it as unknown until 10 s after its first read of the group, no longer after its start.

--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -205,6 +205,7 @@
         if (term.isPresent()) {
             if (!mController.hasAffectedNoTarget()) {
                 mPredecessors.ownTermEnded(term.get(), mClock.monotonicMs());
+                mRecords.termEnded(term.get(), mMembership.lastHeld());
             }
             toController(new CellEvent.TermEnded());
             if (!mMembership.assignedElsewhere()) {
@@ -219,7 +220,7 @@
             Optional<CellMessage.Targets> inherited = mTargets.ofTerm(mPendingJobs.fence());
             long inheritedFence = inherited.map(CellMessage.Targets::fence).orElse(0L);
             mPredecessors.termBegan(inheritedFence, mClock.monotonicMs());
-            mRecords.termBegan(mClock.monotonicMs());
+            mRecords.termBegan(mClock);
             toController(
                     new CellEvent.TermBegan(
                             held.get(), inherited.map(CellMessage.Targets::targets)));
@@ -384,7 +385,7 @@
         if (isLaterTerm(heartbeat.fence())) {
             deposed(heartbeat.fence());
         }
-        for (CellMessage records : mRecords.toController(heartbeat.fence(), mClock.monotonicMs())) {
+        for (CellMessage records : mRecords.toController(heartbeat.fence(), mClock)) {
             mActions.add(new MemberAction.Send(from, records));
         }
         if (heartbeat.fence() >= mPendingJobs.fence()) {
--- a/core/src/main/java/org/boragegap/core/cell/Membership.java
+++ b/core/src/main/java/org/boragegap/core/cell/Membership.java
@@ -123,6 +123,11 @@
         return changed;
     }
 
+    /** When the last join was sent whose answer named this VM as the holder. */
+    Optional<ClockReading> lastHeld() {
+        return mLastHeldRenewal;
+    }
+
     private void hold(ClockReading sent) {
         mLastHeldRenewal = Optional.of(sent);
         if (mFence == 0) {
--- a/core/src/main/java/org/boragegap/core/cell/StartRecordExchange.java
+++ b/core/src/main/java/org/boragegap/core/cell/StartRecordExchange.java
@@ -3,8 +3,10 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.boragegap.core.ClockReading;
+import org.boragegap.core.records.EarlierTerm;
 import org.boragegap.core.records.KnownRecords;
 import org.boragegap.core.records.RecordFrame;
 import org.boragegap.core.records.RecordSender;
@@ -19,6 +21,35 @@
     private final CellController mController;
     private final KnownRecords mKnown;
     private final RecordSender mSender;
+    private Optional<OwnTerm> mLastTerm = Optional.empty();
+
+    /**
+     * The last term of this VM in which it started tasks.
+     *
+     * @param held when the last join that confirmed the term was sent
+     * @param reliableFromMs see {@link KnownRecords#reliableFromMs}
+     */
+    private record OwnTerm(long fence, ClockReading held, OptionalLong reliableFromMs) {
+        /**
+         * Both clocks count, because the monotonic one stands still while the process is paused,
+         * and another controller may have acted meanwhile.
+         */
+        EarlierTerm at(ClockReading clock) {
+            long heldAgoMs =
+                    Math.max(
+                            clock.monotonicMs() - held.monotonicMs(),
+                            clock.wallMs() - held.wallMs());
+            return new EarlierTerm(fence, heldAgoMs, reliableAgoMs(clock.monotonicMs()));
+        }
+
+        private long reliableAgoMs(long nowMs) {
+            if (reliableFromMs.isEmpty()) {
+                return EarlierTerm.NEVER;
+            }
+            long fromMs = reliableFromMs.getAsLong();
+            return fromMs == Long.MIN_VALUE ? RecordSender.UNLIMITED_MS : nowMs - fromMs;
+        }
+    }
 
     StartRecordExchange(
             String self,
@@ -44,9 +75,27 @@
     }
 
     /** Begins a term of this VM with its own records. */
-    void termBegan(long nowMs) {
+    void termBegan(ClockReading clock) {
+        long nowMs = clock.monotonicMs();
         long coveredMs = mSender.coveredMs(evictedMs(), nowMs);
-        mKnown.termBegan(mPendingJobs.mayHaveStartedSince(sinceMs(nowMs)), coveredMs, nowMs);
+        mKnown.termBegan(
+                mPendingJobs.mayHaveStartedSince(sinceMs(nowMs)),
+                coveredMs,
+                lastTerm(clock),
+                nowMs);
+    }
+
+    /**
+     * A term of this VM has ended in which it may have started tasks.
+     *
+     * @param held when the last join that confirmed the term was sent
+     */
+    void termEnded(long fence, Optional<ClockReading> held) {
+        mLastTerm = held.map(sent -> new OwnTerm(fence, sent, mKnown.reliableFromMs()));
+    }
+
+    private EarlierTerm lastTerm(ClockReading clock) {
+        return mLastTerm.map(term -> term.at(clock)).orElse(EarlierTerm.NONE);
     }
 
     private static long sinceMs(long nowMs) {
@@ -64,18 +113,25 @@
      *
      * @param fence fencing token in the heartbeat
      */
-    List<CellMessage> toController(long fence, long nowMs) {
+    List<CellMessage> toController(long fence, ClockReading clock) {
+        long nowMs = clock.monotonicMs();
         if (fence > mPendingJobs.fence()) {
-            Set<String> jobs =
-                    new LinkedHashSet<>(mPendingJobs.mayHaveStartedSince(sinceMs(nowMs)));
-            jobs.addAll(mController.startedSince(sinceMs(nowMs)));
-            mSender.termHeard(fence, jobs, evictedMs());
+            mSender.termHeard(fence, mayHaveStarted(nowMs), evictedMs());
         }
-        return mSender.unacknowledged(fence, nowMs).stream()
+        return mSender.unacknowledged(fence, lastTerm(clock), nowMs).stream()
                 .<CellMessage>map(frame -> new CellMessage.StartRecords(fence, frame))
                 .toList();
     }
 
+    private Set<String> mayHaveStarted(long nowMs) {
+        long sinceMs = sinceMs(nowMs);
+        Set<String> jobs = new LinkedHashSet<>(mPendingJobs.mayHaveStartedSince(sinceMs));
+        jobs.addAll(mController.startedSince(sinceMs));
+        mLastTerm.ifPresent(
+                term -> jobs.addAll(mKnown.mayHaveStartedSince(sinceMs, term.reliableFromMs())));
+        return jobs;
+    }
+
     /** Takes what a message tells about records; returns the receipt to send, if one is due. */
     Optional<CellMessage> received(String from, CellMessage message, long nowMs) {
         if (!from.equals(mSelf)) {
--- a/core/src/main/java/org/boragegap/core/records/GroupPresence.java
+++ b/core/src/main/java/org/boragegap/core/records/GroupPresence.java
@@ -11,6 +11,7 @@
     private final long mRetentionMs;
     private final Map<String, Long> mLastPresentMs = new HashMap<>();
     private final Set<String> mPresent = new HashSet<>();
+    private long mKnownSinceMs = Long.MAX_VALUE;
 
     /** Creates an instance that forgets a VM when it has been absent for the given time. */
     GroupPresence(long retentionMs) {
@@ -22,6 +23,7 @@
      * the group until just now, because the members are read every few seconds only.
      */
     void listed(Set<String> peers, long nowMs) {
+        mKnownSinceMs = Math.min(mKnownSinceMs, nowMs);
         mPresent.addAll(peers);
         mPresent.forEach(peer -> mLastPresentMs.put(peer, nowMs));
         mPresent.retainAll(peers);
@@ -34,6 +36,11 @@
         mLastPresentMs.put(peer, nowMs);
     }
 
+    /** When the members of the group were first read. */
+    long knownSinceMs() {
+        return mKnownSinceMs;
+    }
+
     boolean isPresent(String peer) {
         return mPresent.contains(peer);
     }
--- a/core/src/main/java/org/boragegap/core/records/KnownRecords.java
+++ b/core/src/main/java/org/boragegap/core/records/KnownRecords.java
@@ -1,7 +1,9 @@
 package org.boragegap.core.records;
 
+import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -13,6 +15,9 @@
  * <p>A job of an earlier term has been offered by some VM and started by some controller. Its
  * caller comes back within {@link #RETURN_WINDOW_MS}. So a job that arrives now has not started if
  * no VM has it in its records, and no VM has lost records of the last such window.
+ *
+ * <p>The controller of the previous term knows what started in its own term, and what it knew of
+ * earlier ones. It makes up for the records of a VM that was lost before the end of that term.
  */
 public final class KnownRecords {
     /**
@@ -28,8 +33,10 @@
         private final BitSet mReceived = new BitSet();
         private boolean mComplete;
 
-        /** From when on arriving jobs would be in the records of this VM. */
-        private long mReliableFromMs = Long.MIN_VALUE;
+        /** From when on the sender has recorded all of its jobs. */
+        private long mWholeSinceMs = Long.MIN_VALUE;
+
+        private Predecessor mPredecessor = Predecessor.NONE;
 
         private void add(RecordFrame frame, long nowMs) {
             if (mComplete) {
@@ -40,11 +47,50 @@
                 mReceived.clear();
             }
             mReceived.set(frame.number());
-            mReliableFromMs = Math.max(mReliableFromMs, reliableFromMs(frame.coveredMs(), nowMs));
+            mWholeSinceMs = Math.max(mWholeSinceMs, agoMs(frame.coveredMs(), nowMs));
+            mPredecessor = Predecessor.of(frame.lastTerm(), nowMs);
             mComplete = mReceived.nextClearBit(0) >= frame.count();
         }
     }
 
+    /**
+     * A controller of an earlier term, on the clock of this VM.
+     *
+     * @param fence fencing token of its term; 0 for none
+     * @param heldMs when the group last confirmed that term
+     * @param reliableFromMs from when on arriving jobs would be in its records if they had started
+     *     before; empty if they may be missing there
+     */
+    private record Predecessor(long fence, long heldMs, OptionalLong reliableFromMs) {
+        static final Predecessor NONE = new Predecessor(0, Long.MIN_VALUE, OptionalLong.empty());
+
+        static Predecessor of(EarlierTerm term, long nowMs) {
+            boolean reliable = term.fence() != 0 && term.reliableAgoMs() != EarlierTerm.NEVER;
+            return new Predecessor(
+                    term.fence(),
+                    nowMs - term.heldAgoMs(),
+                    reliable
+                            ? OptionalLong.of(agoMs(term.reliableAgoMs(), nowMs))
+                            : OptionalLong.empty());
+        }
+
+        static Predecessor later(Predecessor one, Predecessor other) {
+            return one.fence >= other.fence ? one : other;
+        }
+
+        /**
+         * From when on arriving jobs are known although a VM has lost its records up to a time.
+         *
+         * @param lostMs time up to which the records are lost
+         */
+        long reliableFromMs(long lostMs) {
+            long returnedMs = lostMs == Long.MIN_VALUE ? Long.MIN_VALUE : lostMs + RETURN_WINDOW_MS;
+            return reliableFromMs.isPresent() && lostMs <= heldMs
+                    ? Math.min(returnedMs, reliableFromMs.getAsLong())
+                    : returnedMs;
+        }
+    }
+
     private final boolean mNoEarlierTerms;
     private final GroupPresence mPresence = new GroupPresence(RETURN_WINDOW_MS);
     private final RecentJobs<Boolean> mJobs = new RecentJobs<>();
@@ -58,7 +104,8 @@
     private final Map<String, Long> mRequired = new HashMap<>();
 
     private long mTermBeganMs;
-    private long mOwnReliableFromMs;
+    private long mOwnWholeSinceMs;
+    private Predecessor mOwnTerm = Predecessor.NONE;
     private boolean mMembersListed;
     private boolean mComplete;
 
@@ -76,10 +123,8 @@
         return new KnownRecords(true);
     }
 
-    private static long reliableFromMs(long coveredMs, long nowMs) {
-        return coveredMs >= RETURN_WINDOW_MS
-                ? Long.MIN_VALUE
-                : nowMs + RETURN_WINDOW_MS - coveredMs;
+    private static long agoMs(long ms, long nowMs) {
+        return ms == RecordSender.UNLIMITED_MS ? Long.MIN_VALUE : nowMs - ms;
     }
 
     /**
@@ -107,10 +152,13 @@
      *
      * @param ownJobs jobs that this VM itself has offered to earlier terms
      * @param ownCoveredMs how far back its own records are whole, in ms
+     * @param ownTerm the previous term of this VM
      */
-    public void termBegan(Iterable<String> ownJobs, long ownCoveredMs, long nowMs) {
+    public void termBegan(
+            Iterable<String> ownJobs, long ownCoveredMs, EarlierTerm ownTerm, long nowMs) {
         mTermBeganMs = nowMs;
-        mOwnReliableFromMs = reliableFromMs(ownCoveredMs, nowMs);
+        mOwnWholeSinceMs = agoMs(ownCoveredMs, nowMs);
+        mOwnTerm = Predecessor.of(ownTerm, nowMs);
         mMembersListed = false;
         mComplete = false;
         mDeliveries.clear();
@@ -153,6 +201,19 @@
         return mComplete;
     }
 
+    /**
+     * Jobs that may have started in earlier terms, for the records of the next controller: those in
+     * records received since a time, and those offered since then while records were missing.
+     *
+     * @param reliableFromMs what {@link #reliableFromMs} was at the end of the term
+     */
+    public List<String> mayHaveStartedSince(long sinceMs, OptionalLong reliableFromMs) {
+        List<String> jobs = new ArrayList<>(mJobs.since(sinceMs, recorded -> true));
+        long fromMs = reliableFromMs.orElse(Long.MAX_VALUE);
+        jobs.addAll(mFirstOffersMs.since(sinceMs, firstMs -> firstMs < fromMs));
+        return jobs;
+    }
+
     /** Number of jobs in the records. */
     public int jobs() {
         return mJobs.size();
@@ -170,24 +231,45 @@
      * From when on a job that is offered for the first time would be in the records if it had
      * started before; empty while records are still to arrive.
      */
-    private OptionalLong reliableFromMs() {
+    public OptionalLong reliableFromMs() {
         if (!mMembersListed) {
             return OptionalLong.empty();
         }
-        long fromMs = mOwnReliableFromMs;
+        Predecessor predecessor = predecessor();
+        long fromMs = ownReliableFromMs(predecessor);
         if (mJobs.evictedMs() >= mTermBeganMs) {
             fromMs = Math.max(fromMs, mJobs.evictedMs() + RETURN_WINDOW_MS);
         }
         for (Map.Entry<String, Long> required : mRequired.entrySet()) {
             Delivery delivery = mDeliveries.get(required.getKey());
             if (delivery != null && delivery.mComplete) {
-                fromMs = Math.max(fromMs, delivery.mReliableFromMs);
+                long lostMs = delivery.mWholeSinceMs;
+                fromMs = Math.max(fromMs, predecessor.reliableFromMs(lostMs));
             } else if (mPresence.isPresent(required.getKey())) {
                 return OptionalLong.empty();
             } else {
-                fromMs = Math.max(fromMs, required.getValue() + RETURN_WINDOW_MS);
+                fromMs = Math.max(fromMs, predecessor.reliableFromMs(required.getValue()));
             }
         }
         return OptionalLong.of(fromMs);
     }
+
+    /** The controller of the last term in which tasks were started, as far as is known. */
+    private Predecessor predecessor() {
+        return mDeliveries.values().stream()
+                .filter(delivery -> delivery.mComplete)
+                .map(delivery -> delivery.mPredecessor)
+                .reduce(mOwnTerm, Predecessor::later);
+    }
+
+    /**
+     * From when on it matters no more what this VM did before it started, and which VMs were lost
+     * before it first knew the group.
+     */
+    private long ownReliableFromMs(Predecessor predecessor) {
+        if (mOwnWholeSinceMs == Long.MIN_VALUE) {
+            return Long.MIN_VALUE;
+        }
+        return predecessor.reliableFromMs(Math.max(mOwnWholeSinceMs, mPresence.knownSinceMs()));
+    }
 }
--- a/core/src/main/java/org/boragegap/core/records/RecordSender.java
+++ b/core/src/main/java/org/boragegap/core/records/RecordSender.java
@@ -98,8 +98,12 @@
         return frames;
     }
 
-    /** Frames that the controller of the term has not acknowledged. */
-    public List<RecordFrame> unacknowledged(long fence, long nowMs) {
+    /**
+     * Frames that the controller of the term has not acknowledged.
+     *
+     * @param lastTerm the last term of this VM's own
+     */
+    public List<RecordFrame> unacknowledged(long fence, EarlierTerm lastTerm, long nowMs) {
         if (fence != mFence) {
             return List.of();
         }
@@ -110,6 +114,7 @@
                                 new RecordFrame(
                                         mStart.wallMs(),
                                         coveredMs,
+                                        lastTerm,
                                         number,
                                         mFrames.size(),
                                         mFrames.get(number)))
--- a/core/src/test/java/org/boragegap/core/records/RecordSenderTest.java
+++ b/core/src/test/java/org/boragegap/core/records/RecordSenderTest.java
@@ -41,22 +41,24 @@
     @Test
     void aVmWithoutJobsSendsOneEmptyFrame() {
         mSender.termHeard(FENCE, List.of(), NONE_EVICTED);
-        List<RecordFrame> frames = mSender.unacknowledged(FENCE, 3_000);
-        assertThat(frames).containsExactly(new RecordFrame(500_000, 2_000, 0, 1, List.of()));
+        List<RecordFrame> frames = mSender.unacknowledged(FENCE, EarlierTerm.NONE, 3_000);
+        assertThat(frames)
+                .containsExactly(
+                        new RecordFrame(500_000, 2_000, EarlierTerm.NONE, 0, 1, List.of()));
     }
 
     /** Guards against a lost frame, and against traffic while terms don't change. */
     @Test
     void eachFrameIsSentUntilItIsAcknowledged() {
         mSender.termHeard(FENCE, jobs(300, 16), NONE_EVICTED);
-        assertThat(mSender.unacknowledged(FENCE, 3_000)).hasSize(2);
+        assertThat(mSender.unacknowledged(FENCE, EarlierTerm.NONE, 3_000)).hasSize(2);
         mSender.acknowledged(FENCE - 1, 1);
         mSender.acknowledged(FENCE, 0);
-        List<RecordFrame> left = mSender.unacknowledged(FENCE, 3_000);
+        List<RecordFrame> left = mSender.unacknowledged(FENCE, EarlierTerm.NONE, 3_000);
         assertThat(left.stream().map(RecordFrame::number).toList()).containsExactly(1);
         mSender.acknowledged(FENCE, 1);
-        assertThat(mSender.unacknowledged(FENCE, 3_000)).isEmpty();
-        assertThat(mSender.unacknowledged(FENCE - 1, 3_000)).isEmpty();
+        assertThat(mSender.unacknowledged(FENCE, EarlierTerm.NONE, 3_000)).isEmpty();
+        assertThat(mSender.unacknowledged(FENCE - 1, EarlierTerm.NONE, 3_000)).isEmpty();
     }
 
     /** Guards against records from which recent jobs were dropped that count as whole. */
--- a/wire/src/main/java/org/boragegap/wire/CellFields.java
+++ b/wire/src/main/java/org/boragegap/wire/CellFields.java
@@ -7,6 +7,7 @@
 import org.boragegap.core.cell.CrashEvidence;
 import org.boragegap.core.cell.TargetInfo;
 import org.boragegap.core.cell.TaskName;
+import org.boragegap.core.records.EarlierTerm;
 import org.boragegap.core.records.RecordFrame;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
@@ -180,6 +181,9 @@
             RecordFrame frame = records.frame();
             packer.packLong(records.fence());
             packer.packLong(frame.process()).packLong(frame.coveredMs());
+            EarlierTerm term = frame.lastTerm();
+            packer.packLong(term.fence()).packLong(term.heldAgoMs());
+            packer.packLong(term.reliableAgoMs());
             packer.packInt(frame.number()).packInt(frame.count());
             packer.packInt(frame.jobs().size());
             for (String job : frame.jobs()) {
@@ -192,6 +196,9 @@
             long fence = unpacker.unpackLong();
             long process = unpacker.unpackLong();
             long coveredMs = unpacker.unpackLong();
+            EarlierTerm term =
+                    new EarlierTerm(
+                            unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackLong());
             int number = unpacker.unpackInt();
             int count = unpacker.unpackInt();
             if (number < 0 || number >= count || count > MAX_RECORD_FRAMES) {
@@ -202,7 +209,7 @@
             for (int i = 0; i < jobCount; i++) {
                 jobs.add(unpacker.unpackString());
             }
-            RecordFrame frame = new RecordFrame(process, coveredMs, number, count, jobs);
+            RecordFrame frame = new RecordFrame(process, coveredMs, term, number, count, jobs);
             return new CellMessage.StartRecords(fence, frame);
         }
     },
--- a/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
+++ b/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
@@ -28,6 +28,7 @@
 import org.boragegap.core.claim.Member;
 import org.boragegap.core.job.Resources;
 import org.boragegap.core.placement.LoanMessage;
+import org.boragegap.core.records.EarlierTerm;
 import org.boragegap.core.records.RecordFrame;
 
 /** Tests that peer messages round-trip through MessagePack and that other bytes are rejected. */
@@ -106,9 +107,17 @@
                         new CellMessage.Crashed(task, text, CrashEvidence.COINCIDENT),
                         new CellMessage.HeartbeatReply(number, clock, flag, !flag, 1, number, 3),
                         new CellMessage.StartRecords(
-                                number, new RecordFrame(number, number, 0, 1, List.of())),
+                                number,
+                                new RecordFrame(number, number, EarlierTerm.NONE, 0, 1, List.of())),
                         new CellMessage.StartRecords(
-                                1, new RecordFrame(1, number, 1, 2, List.of(text, "a"))),
+                                1,
+                                new RecordFrame(
+                                        1,
+                                        number,
+                                        new EarlierTerm(number, 1, number),
+                                        1,
+                                        2,
+                                        List.of(text, "a"))),
                         new CellMessage.StartRecordsReceived(number, count));
         List<PeerMessage.Cell> cells =
                 messages.stream().map(one -> new PeerMessage.Cell("h:1", count, one)).toList();
