--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -190,13 +190,7 @@
     // Entry VMs
 
     private void start(FakeEntryVm vm) {
-        vm.mIncarnation++;
-        vm.mAlive = true;
-        vm.mWatchesTargets = false;
-        vm.mPausedMs = 0;
-        vm.mDeferred.clear();
-        vm.mCallers.clear();
-        vm.mLastEvacuated = null;
+        vm.beginIncarnation();
         ClockReading start = clock(vm);
         vm.mMember = CellMember.create(vm.mAddress, 0, SETTINGS, FakeGroup.LEASE_MS, start);
         if (vm.mIncarnation == 1) {
--- a/core/src/test/java/org/boragegap/core/cell/FakeEntryVm.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeEntryVm.java
@@ -28,6 +28,17 @@
         mAddress = address;
     }
 
+    /** Begins another process, which knows nothing of the earlier one. */
+    void beginIncarnation() {
+        mIncarnation++;
+        mAlive = true;
+        mWatchesTargets = false;
+        mPausedMs = 0;
+        mDeferred.clear();
+        mCallers.clear();
+        mLastEvacuated = null;
+    }
+
     String member() {
         return mAddress + "/" + mIncarnation;
     }
