--- a/core/src/main/java/org/boragegap/core/placement/Borrower.java
+++ b/core/src/main/java/org/boragegap/core/placement/Borrower.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.boragegap.core.job.Resources;
+import org.boragegap.core.loan.LoanTerm;
+import org.boragegap.core.loan.RequestPacing;
 
 /**
  * Borrows slots on the targets of sibling entry VMs when this VM's own targets are full.
@@ -45,16 +47,11 @@
         }
     }
 
-    private static final class SentRequest {
-        private long mSentMs = Long.MIN_VALUE / 2;
-        private int mOutstanding;
-    }
-
     private record OwnerAndService(String owner, String service) {}
 
     private record LoanKey(String owner, long loanId) {}
 
-    private final Map<OwnerAndService, SentRequest> mSentRequests = new HashMap<>();
+    private final Map<OwnerAndService, RequestPacing> mSentRequests = new HashMap<>();
     private final Map<String, List<BorrowedSlot>> mFreeSlots = new HashMap<>();
     private final Map<OwnerAndService, Integer> mRecallCounts = new HashMap<>();
 
@@ -74,35 +71,33 @@
             long nowMs,
             List<LoanAction> out) {
         for (String sibling : siblings) {
-            SentRequest request =
+            RequestPacing request =
                     mSentRequests.computeIfAbsent(
-                            new OwnerAndService(sibling, service), key -> new SentRequest());
-            long elapsedMs = nowMs - request.mSentMs;
-            boolean pending = request.mOutstanding > 0 && elapsedMs < REPEAT_REQUEST_MS;
-            if (pending || elapsedMs < MIN_REQUEST_INTERVAL_MS) {
+                            new OwnerAndService(sibling, service),
+                            key ->
+                                    RequestPacing.create(
+                                            MIN_REQUEST_INTERVAL_MS, REPEAT_REQUEST_MS));
+            if (!request.isDue(nowMs)) {
                 continue;
             }
             int slotsPerSibling =
                     Math.min(MAX_REQUESTED_SLOTS, (count + siblings.size() - 1) / siblings.size());
-            request.mSentMs = nowMs;
-            request.mOutstanding = slotsPerSibling;
+            request.sent(nowMs, slotsPerSibling);
             out.add(new LoanAction(sibling, new LoanMessage.Ask(service, need, slotsPerSibling)));
         }
     }
 
     /** Adds the slots that a sibling has granted. */
     public void onGiven(String owner, LoanMessage.Given given, long nowMs) {
-        SentRequest request = mSentRequests.get(new OwnerAndService(owner, given.service()));
+        RequestPacing request = mSentRequests.get(new OwnerAndService(owner, given.service()));
         if (request == null) {
             return;
         }
         List<BorrowedSlot> free =
                 mFreeSlots.computeIfAbsent(given.service(), service -> new ArrayList<>());
         for (LoanMessage.Line line : given.lines()) {
-            request.mOutstanding -= line.count();
-            // The term starts with the sibling's grant. That time isn't known here, but it is no
-            // earlier than the request, so the term is counted from the request.
-            long usableUntilMs = Math.min(nowMs, request.mSentMs) + line.termMs();
+            request.granted(line.count());
+            long usableUntilMs = LoanTerm.borrowerEndMs(request.sentMs(), nowMs, line.termMs());
             for (int i = 0; i < line.count(); i++) {
                 free.add(new BorrowedSlot(owner, line, usableUntilMs));
             }
--- a/core/src/main/java/org/boragegap/core/placement/Lender.java
+++ b/core/src/main/java/org/boragegap/core/placement/Lender.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.boragegap.core.job.Resources;
+import org.boragegap.core.loan.LoanTerm;
+import org.boragegap.core.loan.RequestPacing;
 
 /**
  * Lends slots on this VM's targets to sibling entry VMs.
@@ -20,8 +22,7 @@
  */
 public final class Lender {
     private static final long REQUEST_VALID_MS = 500;
-    private static final long TERM_MS = 3_000;
-    private static final long EXPIRY_MARGIN_MS = 5_000;
+    private static final LoanTerm TERM = new LoanTerm(3_000, 5_000);
     private static final long MIN_RECALL_INTERVAL_MS = 200;
 
     /**
@@ -62,7 +63,7 @@
     private final Map<BorrowerAndService, PendingRequest> mPendingRequests = new LinkedHashMap<>();
     private final Map<Long, Loan> mLoans = new LinkedHashMap<>();
     private long mNextLoanId;
-    private long mLastRecallMs = Long.MIN_VALUE / 2;
+    private final RequestPacing mRecalls = RequestPacing.create(MIN_RECALL_INTERVAL_MS, 0);
 
     private Lender(TargetPool targets, long firstLoanId) {
         mTargets = targets;
@@ -133,7 +134,7 @@
 
     private static Loan newLoan(
             String borrower, TargetState target, LoanMessage.Ask ask, long nowMs) {
-        return new Loan(borrower, target, ask.need(), nowMs + TERM_MS + EXPIRY_MARGIN_MS);
+        return new Loan(borrower, target, ask.need(), TERM.lenderEndMs(nowMs));
     }
 
     private LoanMessage.Given registerLoans(LoanMessage.Ask ask, Map<TargetState, Loan> loans) {
@@ -142,7 +143,7 @@
             long id = mNextLoanId++;
             mLoans.put(id, loan);
             String address = loan.mTarget.target().address();
-            lines.add(new LoanMessage.Line(id, address, loan.mNeed, loan.mCount, TERM_MS));
+            lines.add(new LoanMessage.Line(id, address, loan.mNeed, loan.mCount, TERM.termMs()));
         }
         return new LoanMessage.Given(ask.service(), lines);
     }
@@ -171,7 +172,7 @@
 
     /** Recalls up to as many slots as own tasks wait for, at most once per interval. */
     public void recall(Map<String, Integer> ownWaiting, long nowMs, List<LoanAction> out) {
-        if (nowMs - mLastRecallMs < MIN_RECALL_INTERVAL_MS) {
+        if (!mRecalls.isDue(nowMs)) {
             return;
         }
         Map<BorrowerAndService, Integer> lentCounts = new LinkedHashMap<>();
@@ -186,7 +187,7 @@
                     int recalled = Math.min(count, wanted.getOrDefault(key.service(), 0));
                     if (recalled > 0) {
                         wanted.merge(key.service(), -recalled, Integer::sum);
-                        mLastRecallMs = nowMs;
+                        mRecalls.sent(nowMs, 0);
                         LoanMessage recall = new LoanMessage.Recall(key.service(), recalled);
                         out.add(new LoanAction(key.borrower(), recall));
                     }
