Frames for loans of targets between cells

What callers saw: nothing yet; part 3 of docs/HARD-LOAD.md needs messages between the controllers of two cells.

Change: LoanRequest, LoanGrant, LoanReturn and LoanRecall, with numbers after those of all other messages. A heartbeat carries the number of targets that its controller would lend, and its reply says whether the sender's own last term had borrowed targets: the list of that term doesn't name them.

Tested: PeerCodecProperties (all messages round-trip, each has one encoding), PeerTransportTest, OutboxTest.

--- a/core/src/main/java/org/boragegap/core/cell/CellMessage.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMessage.java
@@ -44,8 +44,15 @@
      * @param fence fencing token of the term
      * @param sent the controller's clock; a reply repeats it
      * @param periodMs time until the next heartbeat, in ms
+     * @param idleTargets number of targets that the controller would lend to other cells
      */
-    record Heartbeat(long fence, ClockReading sent, long periodMs) implements CellMessage {}
+    record Heartbeat(long fence, ClockReading sent, long periodMs, int idleTargets)
+            implements CellMessage {
+        /** Creates a heartbeat of a controller that lends nothing. */
+        public Heartbeat(long fence, ClockReading sent, long periodMs) {
+            this(fence, sent, periodMs, 0);
+        }
+    }
 
     /**
      * Controller to all entry VMs: its term has ended, as planned or because its membership has
@@ -100,6 +107,8 @@
      * @param lastOwnFence fencing token of the sender's own last term; 0 if it had none
      * @param endedAgoMs time since that term ended, in ms
      * @param targetsVersion version of the term's list of targets that the sender has; 0 for none
+     * @param borrowed true when the sender's own last term may have started tasks on targets of
+     *     other cells, which its list doesn't contain
      */
     record HeartbeatReply(
             long fence,
@@ -108,6 +117,99 @@
             boolean sawNoOutage,
             long lastOwnFence,
             long endedAgoMs,
-            long targetsVersion)
+            long targetsVersion,
+            boolean borrowed)
+            implements CellMessage {
+        /** Creates the reply of a VM that has borrowed no targets. */
+        public HeartbeatReply(
+                long fence,
+                ClockReading heartbeat,
+                boolean storeSilent,
+                boolean sawNoOutage,
+                long lastOwnFence,
+                long endedAgoMs,
+                long targetsVersion) {
+            this(
+                    fence,
+                    heartbeat,
+                    storeSilent,
+                    sawNoOutage,
+                    lastOwnFence,
+                    endedAgoMs,
+                    targetsVersion,
+                    false);
+        }
+    }
+
+    /**
+     * Controller to the controller of another cell: requests loans of targets, or renews loans.
+     *
+     * @param cell number of the sender's cell
+     * @param fence fencing token of the sender's term
+     * @param lenderFence fencing token of the term that is meant; another one ignores the request
+     * @param number rises with each request of the term; the grant repeats it
+     * @param service service whose targets are needed
+     * @param neededCpu processor that is missing, in thousandths of a core; 0 to renew only
+     * @param largestTaskCpu processor demand of the largest task, in thousandths of a core
+     * @param renewals numbers of the loans to be renewed
+     */
+    record LoanRequest(
+            int cell,
+            long fence,
+            long lenderFence,
+            long number,
+            String service,
+            int neededCpu,
+            int largestTaskCpu,
+            List<Long> renewals)
+            implements CellMessage {}
+
+    /**
+     * A target that is lent.
+     *
+     * @param loan number of the loan
+     * @param target the target
+     */
+    record LentTarget(long loan, TargetInfo target) {}
+
+    /**
+     * Answer to {@link LoanRequest}, also if nothing is granted.
+     *
+     * @param cell number of the lending cell
+     * @param fence fencing token of the lender, for orders to the targets
+     * @param borrowerFence fencing token in the request
+     * @param number number of the request
+     * @param termMs how long each loan lasts, counted from the request, in ms
+     * @param targets new loans
+     * @param renewed numbers of the loans that last for another term
+     */
+    record LoanGrant(
+            int cell,
+            long fence,
+            long borrowerFence,
+            long number,
+            long termMs,
+            List<LentTarget> targets,
+            List<Long> renewed)
+            implements CellMessage {}
+
+    /**
+     * Borrower to lender: nothing runs on these targets, and no order to them is unresolved.
+     *
+     * @param cell number of the borrowing cell
+     * @param fence fencing token of the borrower's term
+     * @param lenderFence fencing token of the lender's term
+     * @param loans numbers of the loans
+     */
+    record LoanReturn(int cell, long fence, long lenderFence, List<Long> loans)
             implements CellMessage {}
+
+    /**
+     * Lender to borrower: the targets are needed; they are to be returned as soon as they are free.
+     *
+     * @param cell number of the lending cell
+     * @param fence fencing token of the lender's term
+     * @param loans numbers of the loans
+     */
+    record LoanRecall(int cell, long fence, List<Long> loans) implements CellMessage {}
 }
--- a/wire/src/main/java/org/boragegap/wire/CellFields.java
+++ b/wire/src/main/java/org/boragegap/wire/CellFields.java
@@ -68,7 +68,7 @@
             CellMessage.Heartbeat heartbeat = (CellMessage.Heartbeat) message;
             packer.packLong(heartbeat.fence());
             RecordFields.packClock(packer, heartbeat.sent());
-            packer.packLong(heartbeat.periodMs());
+            packer.packLong(heartbeat.periodMs()).packInt(heartbeat.idleTargets());
         }
 
         @Override
@@ -76,7 +76,8 @@
             return new CellMessage.Heartbeat(
                     unpacker.unpackLong(),
                     RecordFields.unpackClock(unpacker),
-                    unpacker.unpackLong());
+                    unpacker.unpackLong(),
+                    unpacker.unpackInt());
         }
     },
     LEAVING(CellMessage.Leaving.class) {
@@ -157,7 +158,7 @@
             RecordFields.packClock(packer, reply.heartbeat());
             packer.packBoolean(reply.storeSilent()).packBoolean(reply.sawNoOutage());
             packer.packLong(reply.lastOwnFence()).packLong(reply.endedAgoMs());
-            packer.packLong(reply.targetsVersion());
+            packer.packLong(reply.targetsVersion()).packBoolean(reply.borrowed());
         }
 
         @Override
@@ -169,7 +170,105 @@
                     unpacker.unpackBoolean(),
                     unpacker.unpackLong(),
                     unpacker.unpackLong(),
-                    unpacker.unpackLong());
+                    unpacker.unpackLong(),
+                    unpacker.unpackBoolean());
+        }
+    },
+    LOAN_REQUEST(CellMessage.LoanRequest.class) {
+        @Override
+        void packFields(MessagePacker packer, CellMessage message) throws IOException {
+            CellMessage.LoanRequest request = (CellMessage.LoanRequest) message;
+            packer.packInt(request.cell()).packLong(request.fence());
+            packer.packLong(request.lenderFence()).packLong(request.number());
+            packer.packString(request.service());
+            packer.packInt(request.neededCpu()).packInt(request.largestTaskCpu());
+            RecordFields.packLongs(packer, request.renewals());
+        }
+
+        @Override
+        CellMessage unpack(MessageUnpacker unpacker) throws IOException {
+            return new CellMessage.LoanRequest(
+                    unpacker.unpackInt(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackString(),
+                    unpacker.unpackInt(),
+                    unpacker.unpackInt(),
+                    RecordFields.unpackLongs(unpacker));
+        }
+    },
+    LOAN_GRANT(CellMessage.LoanGrant.class) {
+        @Override
+        void packFields(MessagePacker packer, CellMessage message) throws IOException {
+            CellMessage.LoanGrant grant = (CellMessage.LoanGrant) message;
+            packer.packInt(grant.cell()).packLong(grant.fence());
+            packer.packLong(grant.borrowerFence()).packLong(grant.number());
+            packer.packLong(grant.termMs());
+            packer.packInt(grant.targets().size());
+            for (CellMessage.LentTarget lent : grant.targets()) {
+                packer.packLong(lent.loan());
+                RecordFields.packTarget(packer, lent.target());
+            }
+            RecordFields.packLongs(packer, grant.renewed());
+        }
+
+        @Override
+        CellMessage unpack(MessageUnpacker unpacker) throws IOException {
+            return new CellMessage.LoanGrant(
+                    unpacker.unpackInt(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong(),
+                    unpackTargets(unpacker),
+                    RecordFields.unpackLongs(unpacker));
+        }
+
+        private static List<CellMessage.LentTarget> unpackTargets(MessageUnpacker unpacker)
+                throws IOException {
+            int count = unpacker.unpackInt();
+            List<CellMessage.LentTarget> targets = new ArrayList<>();
+            for (int i = 0; i < count; i++) {
+                long loan = unpacker.unpackLong();
+                TargetInfo target = RecordFields.unpackTarget(unpacker);
+                targets.add(new CellMessage.LentTarget(loan, target));
+            }
+            return targets;
+        }
+    },
+    LOAN_RETURN(CellMessage.LoanReturn.class) {
+        @Override
+        void packFields(MessagePacker packer, CellMessage message) throws IOException {
+            CellMessage.LoanReturn returned = (CellMessage.LoanReturn) message;
+            packer.packInt(returned.cell()).packLong(returned.fence());
+            packer.packLong(returned.lenderFence());
+            RecordFields.packLongs(packer, returned.loans());
+        }
+
+        @Override
+        CellMessage unpack(MessageUnpacker unpacker) throws IOException {
+            return new CellMessage.LoanReturn(
+                    unpacker.unpackInt(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong(),
+                    RecordFields.unpackLongs(unpacker));
+        }
+    },
+    LOAN_RECALL(CellMessage.LoanRecall.class) {
+        @Override
+        void packFields(MessagePacker packer, CellMessage message) throws IOException {
+            CellMessage.LoanRecall recall = (CellMessage.LoanRecall) message;
+            packer.packInt(recall.cell()).packLong(recall.fence());
+            RecordFields.packLongs(packer, recall.loans());
+        }
+
+        @Override
+        CellMessage unpack(MessageUnpacker unpacker) throws IOException {
+            return new CellMessage.LoanRecall(
+                    unpacker.unpackInt(),
+                    unpacker.unpackLong(),
+                    RecordFields.unpackLongs(unpacker));
         }
     };
 
--- a/wire/src/main/java/org/boragegap/wire/RecordFields.java
+++ b/wire/src/main/java/org/boragegap/wire/RecordFields.java
@@ -111,6 +111,22 @@
         return numbers;
     }
 
+    static void packLongs(MessagePacker packer, List<Long> numbers) throws IOException {
+        packer.packInt(numbers.size());
+        for (long number : numbers) {
+            packer.packLong(number);
+        }
+    }
+
+    static List<Long> unpackLongs(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackInt();
+        List<Long> numbers = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            numbers.add(unpacker.unpackLong());
+        }
+        return numbers;
+    }
+
     private static void packOptional(MessagePacker packer, Optional<String> text)
             throws IOException {
         if (text.isPresent()) {
--- a/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
+++ b/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
@@ -88,6 +88,7 @@
                         text, "q", "s", 1, count, 1.5, number, text, List.of(step, step), number);
         TargetInfo target =
                 new TargetInfo(text, "h:1", "s", "d", count, 1, 2, Set.of("a", text), flag, !flag);
+        CellMessage.LentTarget lent = new CellMessage.LentTarget(number, target);
         List<CellMessage> messages =
                 List.of(
                         new CellMessage.Offer(number, job, 1, 2, count, number),
@@ -97,13 +98,22 @@
                         new CellMessage.Decided(text, 1, new Verdict.Declined(text, number)),
                         new CellMessage.Decided(text, number, new Verdict.InDoubt(text)),
                         new CellMessage.Heartbeat(number, clock, 150),
+                        new CellMessage.Heartbeat(number, clock, 150, count),
                         new CellMessage.Leaving(number),
                         new CellMessage.ControllerMissing(number, count),
                         new CellMessage.Targets(number, 1, List.of(target, target)),
                         new CellMessage.Crashed(task, text, CrashEvidence.CONFIRMED),
                         new CellMessage.Crashed(task, text, CrashEvidence.POSSIBLE),
                         new CellMessage.Crashed(task, text, CrashEvidence.COINCIDENT),
-                        new CellMessage.HeartbeatReply(number, clock, flag, !flag, 1, number, 3));
+                        new CellMessage.HeartbeatReply(number, clock, flag, !flag, 1, number, 3),
+                        new CellMessage.HeartbeatReply(
+                                number, clock, flag, !flag, 1, number, 3, flag),
+                        new CellMessage.LoanRequest(
+                                count, number, 1, 2, text, count, 3, List.of(number, 4L)),
+                        new CellMessage.LoanGrant(
+                                count, number, 1, 2, 3, List.of(lent, lent), List.of(number)),
+                        new CellMessage.LoanReturn(count, number, 1, List.of(number, 2L)),
+                        new CellMessage.LoanRecall(count, number, List.of(number, 2L)));
         List<PeerMessage.Cell> cells =
                 messages.stream().map(one -> new PeerMessage.Cell("h:1", count, one)).toList();
         for (PeerMessage.Cell cell : cells) {
