Cells lend idle targets to each other

Change: CellLoans ties the decisions of core.loan to a controller's term. A lent target leaves the targets of its term, so it is neither called, filled nor counted; it still counts as one that exists, and is announced. A borrowed one is a target of the term with its loan: orders carry the lender's fencing token, leases end with the loan, a rejected token ends the loan and not the term. It is not announced; the reply to the next controller's heartbeat says that the term had borrowed, so that it waits for a full lease.

While a target reports runs of another cell's job, its lease isn't extended, it gets no work and they are not stopped: the borrower starts them elsewhere when its own last lease has expired.

Nothing is started on a target whose lease another cell's controller has extended beyond the own membership. A target that may have been lent waits for a lease from its first answer.

An answer to a start order repeats the term, since two terms may use the same token of one lender.

Nothing enables this yet. Existing tests: fakes of targets repeat the term of an order instead of its token (equal for targets of the own cell); PredecessorsTest passes the new argument. None is weaker.

--- a/core/src/main/java/org/boragegap/core/cell/AdmissionControl.java
+++ b/core/src/main/java/org/boragegap/core/cell/AdmissionControl.java
@@ -74,7 +74,7 @@
         double slots = 0;
         for (Target target : mTerm.targets().values()) {
             boolean usable = target.reported() && !target.lost() && !target.info().draining();
-            usable &= mTerm.evacuations().allows(target.info());
+            usable &= mTerm.evacuations().allows(target.info()) && target.mayCall(mTerm.nowMs());
             if (usable && !target.quarantined()) {
                 slots += Math.floor(target.info().cpuMillis() / Math.max(1, cpuMillis));
             }
--- a/core/src/main/java/org/boragegap/core/cell/CellAction.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellAction.java
@@ -27,11 +27,18 @@
      * @param task the task
      * @param run run number
      * @param spec the job's spec
-     * @param fence fencing token
+     * @param fence fencing token; that of the lender for a borrowed target
      * @param untilMs lease end on the target's clock; the target rejects the start after it
+     * @param term fencing token of the controller's term, which the answer repeats
      */
     record StartRun(
-            TargetInfo target, TaskName task, int run, String spec, long fence, long untilMs)
+            TargetInfo target,
+            TaskName task,
+            int run,
+            String spec,
+            long fence,
+            long untilMs,
+            long term)
             implements CellAction {}
 
     /**
@@ -72,6 +79,15 @@
     record BroadcastCrash(TaskName task, String target, CrashEvidence evidence)
             implements CellAction {}
 
+    /**
+     * Sends a message about a loan to the controller of another cell.
+     *
+     * @param address peer address of its VM
+     * @param cell number of its cell
+     * @param message the message
+     */
+    record SendLoan(String address, int cell, CellMessage message) implements CellAction {}
+
     /** Another controller has taken over: this VM has to find out which one. */
     record Deposed() implements CellAction {}
 
--- a/core/src/main/java/org/boragegap/core/cell/CellController.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.boragegap.core.ClockReading;
+import org.boragegap.core.loan.LenderDirectory;
 
 /**
  * Schedules one cell while this VM controls it: decides which jobs are admitted, where and when
@@ -47,6 +48,12 @@
     private long mExclusiveUntilMs = Long.MAX_VALUE;
     private boolean mPredecessorsKnown;
     private boolean mPredecessorLeasesExpired;
+    private CellLayout mLayout = CellLayout.ofCells(1);
+    private int mCell;
+    private Optional<LenderDirectory> mDirectory = Optional.empty();
+
+    /** Loans of the term; empty if targets are neither lent nor borrowed. */
+    private Optional<CellLoans> mLoans = Optional.empty();
 
     private CellController(CellSettings settings) {
         mSettings = settings;
@@ -57,6 +64,27 @@
         return new CellController(settings);
     }
 
+    /** Sets which of the deployment's cells this is; without it there is only this one. */
+    void partOf(CellLayout layout, int cell) {
+        mLayout = layout;
+        mCell = cell;
+    }
+
+    /** Lends and borrows targets from the next term on. */
+    void lendAndBorrow(LenderDirectory directory) {
+        mDirectory = Optional.of(directory);
+    }
+
+    /** Number of targets that this controller would lend to other cells. */
+    int lendableTargets() {
+        return mTerm == null || !mSettled ? 0 : mLoans.map(CellLoans::lendable).orElse(0);
+    }
+
+    /** True when this term may have started tasks on borrowed targets. */
+    boolean hasBorrowed() {
+        return mTerm != null && mLoans.map(CellLoans::hasBorrowed).orElse(false);
+    }
+
     /** Fencing token of the current term; empty when this VM does not control the cell. */
     public Optional<Long> fence() {
         return Optional.ofNullable(mTerm).map(Term::fence);
@@ -87,7 +115,13 @@
             schedulable += mTerm.acceptsWork(target) ? 1 : 0;
         }
         return new CellState(
-                mTerm.fence(), mTerm.targets().size(), schedulable, mTerm.jobs().size(), runs);
+                mTerm.fence(),
+                mTerm.targets().size(),
+                schedulable,
+                mTerm.jobs().size(),
+                runs,
+                mLoans.map(CellLoans::lent).orElse(0),
+                mLoans.map(CellLoans::borrowed).orElse(0));
     }
 
     /**
@@ -105,7 +139,7 @@
         if (event instanceof CellEvent.TermBegan began) {
             begin(began, clock, actions);
         } else if (event instanceof CellEvent.TermEnded) {
-            end(actions);
+            end(clock, actions);
         } else if (event instanceof CellEvent.DomainsEvacuated evacuated) {
             evacuate(evacuated, actions);
         } else if (event instanceof CellEvent.CrashReported reported) {
@@ -117,8 +151,12 @@
         }
         mTerm.beginEvent(clock.monotonicMs(), actions);
         mTerm.exclusiveUntil(mExclusiveUntilMs);
-        handle(event);
+        mLoans.ifPresent(loans -> loans.beginEvent(clock));
+        handle(event, clock);
         schedule();
+        if (!mTerm.waiting().isEmpty() && mSettled) {
+            mLoans.ifPresent(loans -> loans.askIfNeeded(clock));
+        }
     }
 
     private void begin(CellEvent.TermBegan began, ClockReading clock, List<CellAction> actions) {
@@ -129,6 +167,9 @@
         mCrashDetector = new CrashDetector(mTerm);
         mRuns = new RunTracker(mTerm, mRunTimes, mCrashDetector);
         mLeases = new LeaseManager(mTerm, mRuns, mCrashDetector, () -> mNextCall++);
+        mTerm.ownsJobs(job -> mLayout.cellOfJob(job) == mCell);
+        mDirectory.ifPresent(known -> mTerm.lendsTargets());
+        mLoans = mDirectory.map(known -> new CellLoans(mCell, mTerm, mLeases, known));
         mPlacement = new Placement(mTerm, mSettings);
         mJobs =
                 new JobLifecycle(
@@ -146,10 +187,12 @@
         began.previousTargets().ifPresent(mLeases::inherit);
     }
 
-    private void end(List<CellAction> actions) {
+    private void end(ClockReading clock, List<CellAction> actions) {
         if (mTerm == null) {
             return;
         }
+        mTerm.beginEvent(clock.monotonicMs(), actions);
+        mLoans.ifPresent(CellLoans::termEnds);
         actions.add(
                 new CellAction.Log(
                         Decision.self(
@@ -168,7 +211,7 @@
         }
     }
 
-    private void handle(CellEvent event) {
+    private void handle(CellEvent event, ClockReading clock) {
         if (event instanceof CellEvent.TargetsListed listed) {
             mLeases.updateTargets(listed.targets());
             mJobs.refuseInfeasible();
@@ -195,6 +238,11 @@
             mLeases.tick();
             mRuns.tick();
             mJobs.tick();
+            if (mSettled) {
+                mLoans.ifPresent(loans -> loans.tick(clock));
+            }
+        } else if (event instanceof CellEvent.LoanMessageReceived loan) {
+            mLoans.ifPresent(loans -> loans.received(loan.from(), loan.message(), clock, mSettled));
         }
     }
 
--- a/core/src/main/java/org/boragegap/core/cell/CellEvent.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellEvent.java
@@ -69,7 +69,18 @@
             long budgetMs,
             int controllers,
             long number)
-            implements CellEvent {}
+            implements CellEvent {
+        /** The event for an offer that was received. */
+        static Offered of(String entryVm, CellMessage.Offer offer) {
+            return new Offered(
+                    entryVm,
+                    offer.request(),
+                    offer.ageMs(),
+                    offer.budgetMs(),
+                    offer.controllers(),
+                    offer.number());
+        }
+    }
 
     /**
      * The callers at an entry VM no longer wait for a job.
@@ -121,6 +132,14 @@
     record StopAnswered(String target, TaskName task, int run, boolean acknowledged)
             implements CellEvent {}
 
+    /**
+     * The controller of another cell has sent a message about a loan.
+     *
+     * @param from peer address of its VM
+     * @param message the message
+     */
+    record LoanMessageReceived(String from, CellMessage message) implements CellEvent {}
+
     /** Periodic timer event. */
     record Ticked() implements CellEvent {}
 }
--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.boragegap.core.ClockReading;
+import org.boragegap.core.loan.LenderDirectory;
 
 /**
  * All decisions of one entry VM about a cell: its pending jobs, its membership in the group, the
@@ -20,6 +21,8 @@
     private static final long MISSING_READ_INTERVAL_MS = 400;
 
     private final String mSelf;
+    private final int mCell;
+    private final HeardLenders mLenders;
     private final HeartbeatTiming mTiming = new HeartbeatTiming();
     private final HeartbeatSchedule mHeartbeats = new HeartbeatSchedule();
     private final PendingJobs mPendingJobs;
@@ -38,6 +41,8 @@
     private CellMember(
             String self, int cell, CellSettings settings, long groupLeaseMs, ClockReading start) {
         mSelf = self;
+        mCell = cell;
+        mLenders = new HeardLenders(cell);
         mPendingJobs = PendingJobs.create(mTiming, start);
         mController = CellController.create(settings);
         mMembership = Membership.create(groupLeaseMs, start);
@@ -59,13 +64,25 @@
     }
 
     /**
-     * Sets the size of the deployment, on which the period of heartbeats depends.
+     * Sets the size of the deployment, on which the period of heartbeats depends, and which jobs
+     * belong to the cell.
      *
      * @param cells number of cells in the deployment
      * @param cpuMillis processor of this VM, in thousandths of a core
      */
     public void deployment(int cells, int cpuMillis) {
         mHeartbeats.deployment(cells, cpuMillis);
+        mController.partOf(CellLayout.ofCells(cells), mCell);
+    }
+
+    /**
+     * Lends targets to other cells and borrows from them.
+     *
+     * @param directory controllers of all cells, shared by this VM's members of all cells
+     */
+    public void lendAndBorrow(LenderDirectory directory) {
+        mLenders.recordIn(directory);
+        mController.lendAndBorrow(directory);
     }
 
     /**
@@ -152,7 +169,9 @@
     // Membership
 
     private void joined(MemberEvent.Joined joined) {
-        boolean holds = joined.holdsCell() && !hearsAnotherController();
+        boolean holds =
+                joined.holdsCell()
+                        && !mSearch.hearsAnotherController(wantsCell(), mClock.monotonicMs());
         boolean again = mMembership.joined(joined.generation(), holds, joined.sent(), mClock);
         updateTerm();
         if (mMembership.recentlyJoined(mClock)) {
@@ -163,16 +182,6 @@
         }
     }
 
-    /**
-     * Guards against a cell that is assigned to a VM that is no longer a candidate: it has heard
-     * the controller meanwhile, and would depose a healthy one. The group learns of this with the
-     * next join. Heartbeats that this VM heard from itself, before its own term ended, don't count.
-     */
-    private boolean hearsAnotherController() {
-        Optional<String> heard = mPendingJobs.controller(mClock.monotonicMs());
-        return !wantsCell() && heard.filter(address -> !address.equals(mSelf)).isPresent();
-    }
-
     private void peersListed(MemberEvent.PeersListed listed) {
         mFollowers.updatePeers(listed.peers(), mClock.monotonicMs());
         if (mController.fence().isEmpty()) {
@@ -191,7 +200,8 @@
         }
         if (term.isPresent()) {
             if (!mController.hasAffectedNoTarget()) {
-                mPredecessors.ownTermEnded(term.get(), mClock.monotonicMs());
+                boolean borrowed = mController.hasBorrowed();
+                mPredecessors.ownTermEnded(term.get(), borrowed, mClock.monotonicMs());
             }
             toController(new CellEvent.TermEnded());
             if (!mMembership.assignedElsewhere()) {
@@ -306,6 +316,7 @@
             CellMessage.Heartbeat heartbeat = heartbeat(fence.get());
             mTiming.periodAnnounced(heartbeat.periodMs());
             broadcast(heartbeat);
+            mLenders.heard(mSelf, heartbeat, mClock);
             toPending(new EntryEvent.ControllerHeard(mSelf, fence.get()));
         }
     }
@@ -322,7 +333,8 @@
 
     private CellMessage.Heartbeat heartbeat(long fence) {
         long periodMs = mHeartbeats.periodMs(mFollowers.peers().size());
-        return new CellMessage.Heartbeat(fence, mClock, periodMs);
+        int lendable = mController.lendableTargets();
+        return new CellMessage.Heartbeat(fence, mClock, periodMs, lendable);
     }
 
     /** Last heartbeat that a majority endorsed; empty while this VM reaches the store itself. */
@@ -353,6 +365,8 @@
                     new CellEvent.CrashReported(crash.task(), crash.target(), crash.evidence()));
         } else if (message instanceof CellMessage.HeartbeatReply reply) {
             heartbeatReplyReceived(from, reply);
+        } else {
+            toController(new CellEvent.LoanMessageReceived(from, message));
         }
     }
 
@@ -364,14 +378,7 @@
     private void offered(String from, CellMessage.Offer offer) {
         boolean currentTerm = mController.fence().filter(own -> own == offer.fence()).isPresent();
         if (currentTerm) {
-            toController(
-                    new CellEvent.Offered(
-                            from,
-                            offer.request(),
-                            offer.ageMs(),
-                            offer.budgetMs(),
-                            offer.controllers(),
-                            offer.number()));
+            toController(CellEvent.Offered.of(from, offer));
         }
     }
 
@@ -379,6 +386,7 @@
         if (isLaterTerm(heartbeat.fence())) {
             deposed(heartbeat.fence());
         }
+        mLenders.heard(from, heartbeat, mClock);
         if (heartbeat.fence() >= mPendingJobs.fence()) {
             mTiming.periodAnnounced(heartbeat.periodMs());
         }
@@ -386,24 +394,15 @@
         if (mController.fence().isEmpty() && heartbeat.fence() == mPendingJobs.fence()) {
             mSearch.controllerHeard(from, mActions);
         }
-        mActions.add(new MemberAction.Send(from, heartbeatReply(heartbeat.sent())));
-    }
-
-    private CellMessage.HeartbeatReply heartbeatReply(ClockReading heartbeat) {
-        boolean storeSilent = mMembership.storeSilent(mClock);
-        if (storeSilent) {
-            mMembership.endorsedController(mClock);
-        }
-        boolean sawNoOutage = mMembership.sawNoOutage(mClock);
-        long fence = mPendingJobs.fence();
-        return new CellMessage.HeartbeatReply(
-                fence,
-                heartbeat,
-                storeSilent,
-                sawNoOutage,
-                mPredecessors.lastOwnFence(),
-                mPredecessors.lastOwnTermEndedAgoMs(mClock.monotonicMs()),
-                mTargets.version(fence));
+        CellMessage reply =
+                HeartbeatReplies.reply(
+                        mMembership,
+                        mPredecessors,
+                        mPendingJobs.fence(),
+                        mTargets,
+                        heartbeat,
+                        mClock);
+        mActions.add(new MemberAction.Send(from, reply));
     }
 
     private void heartbeatReplyReceived(String from, CellMessage.HeartbeatReply reply) {
@@ -459,6 +458,8 @@
             broadcastTargets(list.targets());
         } else if (action instanceof CellAction.BroadcastCrash crash) {
             broadcast(new CellMessage.Crashed(crash.task(), crash.target(), crash.evidence()));
+        } else if (action instanceof CellAction.SendLoan loan) {
+            mActions.add(new MemberAction.SendToCell(loan.address(), loan.cell(), loan.message()));
         } else if (action instanceof CellAction.Deposed) {
             deposed(mPendingJobs.fence());
         } else if (action instanceof CellAction.Log log) {
--- a/core/src/main/java/org/boragegap/core/cell/CellMessage.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMessage.java
@@ -169,8 +169,9 @@
      *
      * @param loan number of the loan
      * @param target the target
+     * @param leaseLeftMs how long the lease may last that the lender has granted, in ms
      */
-    record LentTarget(long loan, TargetInfo target) {}
+    record LentTarget(long loan, TargetInfo target, long leaseLeftMs) {}
 
     /**
      * Answer to {@link LoanRequest}, also if nothing is granted.
--- a/core/src/main/java/org/boragegap/core/cell/CellState.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellState.java
@@ -8,10 +8,13 @@
  * @param schedulable number of targets that may be given work
  * @param jobs number of accepted jobs that have not ended
  * @param runs number of runs that were ordered and are not known to have ended
+ * @param lent number of targets that are lent to other cells
+ * @param borrowed number of targets that are borrowed from other cells; also counted as known
  */
-public record CellState(long fence, int targets, int schedulable, int jobs, int runs) {
+public record CellState(
+        long fence, int targets, int schedulable, int jobs, int runs, int lent, int borrowed) {
     /** State of a VM that controls nothing. */
-    public static final CellState NONE = new CellState(0, 0, 0, 0, 0);
+    public static final CellState NONE = new CellState(0, 0, 0, 0, 0, 0, 0);
 
     /** Sum of both states; the fencing token is the higher one. */
     public CellState plus(CellState other) {
@@ -20,6 +23,8 @@
                 targets + other.targets,
                 schedulable + other.schedulable,
                 jobs + other.jobs,
-                runs + other.runs);
+                runs + other.runs,
+                lent + other.lent,
+                borrowed + other.borrowed);
     }
 }
--- a/core/src/main/java/org/boragegap/core/cell/ControllerSearch.java
+++ b/core/src/main/java/org/boragegap/core/cell/ControllerSearch.java
@@ -1,6 +1,7 @@
 package org.boragegap.core.cell;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.boragegap.core.ClockReading;
 
@@ -128,4 +129,14 @@
     private static void log(String inputs, String outcome, List<MemberAction> actions) {
         actions.add(new MemberAction.Log(Decision.self("candidacy", inputs, outcome)));
     }
+
+    /**
+     * Guards against a cell that is assigned to a VM that is no longer a candidate: it has heard
+     * the controller meanwhile, and would depose a healthy one. The group learns of this with the
+     * next join. Heartbeats that this VM heard from itself, before its own term ended, don't count.
+     */
+    boolean hearsAnotherController(boolean wantsCell, long nowMs) {
+        Optional<String> heard = mPendingJobs.controller(nowMs);
+        return !wantsCell && heard.filter(address -> !address.equals(mSelf)).isPresent();
+    }
 }
--- a/core/src/main/java/org/boragegap/core/cell/LeaseManager.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseManager.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import org.boragegap.core.loan.BorrowedTarget;
 
 /** Maintains the list of targets, extends their leases and requests their reports. */
 final class LeaseManager {
@@ -103,7 +104,7 @@
         Set<String> ids = new HashSet<>();
         for (TargetInfo info : infos) {
             ids.add(info.id());
-            if (mReplaced.containsKey(info.id())) {
+            if (mReplaced.containsKey(info.id()) || updateLent(info)) {
                 continue;
             }
             Target known = mTerm.targets().get(info.id());
@@ -127,6 +128,68 @@
         announceTargets();
     }
 
+    /** Updates what is known of a lent target, which is not called; false for any other. */
+    private boolean updateLent(TargetInfo info) {
+        Term.LentTarget lent =
+                mTerm.lentTargets()
+                        .computeIfPresent(
+                                info.id(), (id, old) -> new Term.LentTarget(info, old.speed()));
+        return lent != null;
+    }
+
+    /**
+     * Begins to use a target that was borrowed.
+     *
+     * @param leaseLeftMs how long the lease may last that its lender has granted, in ms
+     */
+    void borrow(TargetInfo info, BorrowedTarget loan, long leaseLeftMs) {
+        Target target = new Target(info, mTerm.nowMs(), earlierLeaseEndMs());
+        target.otherCellsLeaseUntil(mTerm.nowMs() + leaseLeftMs);
+        target.borrow(loan);
+        mTerm.targets().put(info.id(), target);
+        sendLongPoll(target);
+    }
+
+    /** Stops using a target that is lent. */
+    void lend(Target target) {
+        mTerm.targets().remove(target.id());
+        mTerm.lentTargets().put(target.id(), new Term.LentTarget(target.info(), target.speed()));
+    }
+
+    /**
+     * Uses a target again that was lent. All that was known of its runs and its lease is out of
+     * date: its borrower has used it until just now.
+     */
+    void takeBack(String id) {
+        Term.LentTarget lent = mTerm.lentTargets().remove(id);
+        Target target = new Target(lent.info(), mTerm.nowMs(), earlierLeaseEndMs());
+        target.assumeSpeed(lent.speed());
+        mTerm.targets().put(id, target);
+        sendLongPoll(target);
+    }
+
+    /**
+     * Handles an order that was rejected because the target has seen a higher fencing token: ends
+     * the loan of a borrowed target, whose lender was replaced, or else the term.
+     *
+     * @return true when the target is borrowed
+     */
+    boolean fenced(Target target) {
+        if (target.loan().isEmpty()) {
+            mTerm.emit(new CellAction.Deposed());
+            return false;
+        }
+        BorrowedTarget loan = target.loan().get();
+        loan.end();
+        mTerm.log(
+                Decision.target(
+                        "loan-fenced",
+                        target.id(),
+                        "cell=" + loan.lenderCell() + " fence=" + loan.lenderFence(),
+                        "not called any more"));
+        return true;
+    }
+
     /** The latest time at which a lease that an earlier controller granted just now may end. */
     private long earlierLeaseEndMs() {
         return mTerm.nowMs() + (long) Math.ceil(LEASE_MS / Target.MIN_CLOCK_RATE);
@@ -134,8 +197,14 @@
 
     private void announceTargets() {
         List<TargetInfo> infos = new ArrayList<>();
-        mTerm.targets().values().forEach(target -> infos.add(target.info()));
-        if (!infos.equals(mAnnounced)) {
+        for (Target target : mTerm.targets().values()) {
+            if (target.loan().isEmpty()) {
+                infos.add(target.info());
+            }
+        }
+        mTerm.lentTargets().values().forEach(lent -> infos.add(lent.info()));
+        // Loans change the order only.
+        if (!Set.copyOf(infos).equals(Set.copyOf(mAnnounced))) {
             mAnnounced = infos;
             mTerm.emit(new CellAction.BroadcastTargets(infos));
         }
@@ -167,10 +236,16 @@
      * show the current state.
      */
     void requestNewReport(Target target) {
+        if (!target.mayCall(mTerm.nowMs())) {
+            return;
+        }
         target.calls().reportRequestSent(send(target, 0));
     }
 
     private void sendLongPoll(Target target) {
+        if (!target.mayCall(mTerm.nowMs())) {
+            return;
+        }
         target.calls().longPollSent(send(target, target.reported() ? longPollWaitMs(target) : 0));
     }
 
@@ -199,7 +274,8 @@
     private LeaseCalls.Call send(Target target, long waitMs) {
         long call = mCallNumbers.getAsLong();
         long untilMs = 0;
-        if (target.reported() && !target.calls().unresponsive()) {
+        boolean extendable = target.reported() && !target.runsForOtherCell();
+        if (extendable && !target.calls().unresponsive()) {
             untilMs =
                     target.leaseEndOnTargetClock(mTerm.nowMs(), LEASE_MS, mTerm.exclusiveUntilMs());
             target.leaseSent(untilMs);
@@ -208,7 +284,7 @@
                 new CellAction.ExtendLease(
                         target.info(),
                         call,
-                        mTerm.fence(),
+                        target.fence(mTerm.fence()),
                         untilMs,
                         target.acknowledged(),
                         waitMs));
@@ -227,6 +303,10 @@
 
     private void leaseExtended(Target target, LeaseCalls.Call call, TargetReport report) {
         boolean first = !target.reported();
+        if (first && mTerm.mayHaveBeenLent() && target.loan().isEmpty()) {
+            // A borrower may have extended its lease until the target saw this term's token.
+            target.otherCellsLeaseUntil(earlierLeaseEndMs());
+        }
         if (first || target.lost()) {
             mTerm.log(Decision.target("target", target.id(), "report=yes", "in use"));
             mCrashes.targetAnswered(target);
@@ -279,7 +359,7 @@
             target.calls().notSent();
         }
         if (event.cause() == OrderResult.FENCED) {
-            mTerm.emit(new CellAction.Deposed());
+            fenced(target);
         } else if (event.cause() == OrderResult.OTHER_INCARNATION) {
             targetReplaced(target);
         }
@@ -293,8 +373,10 @@
         List<LostRun> runs = mCrashes.recordLoss(target);
         mRuns.releaseAll(target, "another incarnation");
         mTerm.targets().remove(target.id());
-        mReplaced.put(target.id(), mTerm.nowMs());
-        mTerm.expectSuccessor(target.info());
+        if (target.loan().isEmpty()) {
+            mReplaced.put(target.id(), mTerm.nowMs());
+            mTerm.expectSuccessor(target.info());
+        }
         mCrashes.targetReplaced(target.info(), runs);
     }
 
@@ -328,7 +410,9 @@
      * target whose answer is overdue expires like any other.
      */
     private boolean isExpired(Target target) {
-        boolean idle = !target.busy() && !target.calls().lastOrderFailed();
+        // Runs of another cell's jobs are not tracked here, so there is nothing to release.
+        boolean foreignOnly = target.runsForOtherCell() && target.runs().isEmpty();
+        boolean idle = foreignOnly || !target.busy() && !target.calls().lastOrderFailed();
         return !target.lost() && !idle && target.leaseExpired(mTerm.nowMs(), LEASE_SLACK_MS);
     }
 
--- a/core/src/main/java/org/boragegap/core/cell/MemberAction.java
+++ b/core/src/main/java/org/boragegap/core/cell/MemberAction.java
@@ -11,6 +11,15 @@
      */
     record Send(String address, CellMessage message) implements MemberAction {}
 
+    /**
+     * Sends a message to the controller of another cell.
+     *
+     * @param address peer address of its VM; may be that of this VM
+     * @param cell number of the cell
+     * @param message the message
+     */
+    record SendToCell(String address, int cell, CellMessage message) implements MemberAction {}
+
     /**
      * Sends an order to a target.
      *
--- a/core/src/main/java/org/boragegap/core/cell/Placement.java
+++ b/core/src/main/java/org/boragegap/core/cell/Placement.java
@@ -93,7 +93,13 @@
 
     private boolean isFeasible(JobRequest request, StepRequest step) {
         for (Target target : mTerm.targets().values()) {
-            if (isFeasible(request, step, target.info())) {
+            // A borrowed target will be gone soon.
+            if (target.loan().isEmpty() && isFeasible(request, step, target.info())) {
+                return true;
+            }
+        }
+        for (Term.LentTarget lent : mTerm.lentTargets().values()) {
+            if (isFeasible(request, step, lent.info())) {
                 return true;
             }
         }
--- a/core/src/main/java/org/boragegap/core/cell/Predecessors.java
+++ b/core/src/main/java/org/boragegap/core/cell/Predecessors.java
@@ -59,6 +59,7 @@
     private long mLastOwnFence;
 
     private long mLastOwnTermEndedMs;
+    private boolean mLastOwnTermBorrowed;
 
     /**
      * Begins a term.
@@ -74,8 +75,15 @@
         mInheritedFence = inheritedFence;
     }
 
-    void ownTermEnded(long fence, long nowMs) {
+    /**
+     * Records the end of a term of this VM.
+     *
+     * @param borrowed true when tasks may have been started on borrowed targets, which the term's
+     *     list doesn't contain; reports of the listed ones then don't tell all that runs
+     */
+    void ownTermEnded(long fence, boolean borrowed, long nowMs) {
         mLastOwnFence = fence;
+        mLastOwnTermBorrowed = borrowed;
         mLastOwnTermEndedMs = nowMs;
     }
 
@@ -83,6 +91,10 @@
         return mLastOwnFence;
     }
 
+    boolean lastOwnTermBorrowed() {
+        return mLastOwnTermBorrowed;
+    }
+
     long lastOwnTermEndedAgoMs(long nowMs) {
         return nowMs - mLastOwnTermEndedMs;
     }
@@ -150,12 +162,14 @@
             return Knowledge.STORE_WAS_AWAY;
         }
         boolean expired = ownLeasesExpired(nowMs);
-        boolean targetsKnown = expired || mLastOwnFence == mInheritedFence;
+        boolean ownKnown = mLastOwnFence == mInheritedFence && !mLastOwnTermBorrowed;
+        boolean targetsKnown = expired || ownKnown;
         for (String peer : asked) {
             CellMessage.HeartbeatReply answer = mAnswered.get(peer);
             boolean peerExpired = leasesExpired(answer.lastOwnFence(), answer.endedAgoMs());
             expired &= peerExpired;
-            targetsKnown &= peerExpired || answer.lastOwnFence() == mInheritedFence;
+            boolean known = answer.lastOwnFence() == mInheritedFence && !answer.borrowed();
+            targetsKnown &= peerExpired || known;
         }
         if (expired) {
             return Knowledge.OVER;
--- a/core/src/main/java/org/boragegap/core/cell/RunTracker.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunTracker.java
@@ -2,11 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * Tracks each run from its start order until its end is known.
@@ -30,9 +27,6 @@
      */
     private static final long FOREIGN_GRACE_MS = 600;
 
-    /** Maximum number of done tasks kept for jobs not offered yet; covers a few seconds. */
-    private static final int MAX_FOREIGN_DONE = 5_000;
-
     /** A run's end is logged if the run took more than this multiple of the expected time. */
     private static final double SLOW_RUN_LOG_FACTOR = 1.5;
 
@@ -42,7 +36,7 @@
     private final Term mTerm;
     private final RunTimeEstimator mRunTimes;
     private final TargetHealth mHealth;
-    private final Set<TaskName> mForeignDone = new LinkedHashSet<>();
+    private final ForeignDoneTasks mForeignDone = new ForeignDoneTasks();
     private JobLifecycle mJobs;
     private LeaseManager mLeases;
     private final CrashDetector mCrashes;
@@ -102,8 +96,9 @@
                 task.name(),
                 run.number(),
                 task.job().request().spec(),
-                mTerm.fence(),
-                untilMs);
+                target.fence(mTerm.fence()),
+                untilMs,
+                mTerm.fence());
     }
 
     void startAnswered(CellEvent.StartAnswered event) {
@@ -134,12 +129,18 @@
         switch (result) {
             case DONE -> run.confirm(mTerm.nowMs());
             case UNKNOWN -> startUnanswered(run);
-            case FENCED -> mTerm.emit(new CellAction.Deposed());
+            case FENCED -> startFenced(run);
             case NOT_SENT, OLD_RUN, NOT_RUN, NO_ROOM, OTHER_INCARNATION -> startFailed(run, result);
             default -> throw new IllegalArgumentException("unknown order result: " + result);
         }
     }
 
+    private void startFenced(Run run) {
+        if (mLeases.fenced(run.target())) {
+            startFailed(run, OrderResult.FENCED);
+        }
+    }
+
     /** Handles a start order without an answer: asks the target whether the task runs. */
     private void startUnanswered(Run run) {
         if (run.state() == Run.State.STARTING) {
@@ -190,9 +191,13 @@
 
     void stop(Run run) {
         run.requestStop(mTerm.nowMs());
-        mTerm.emit(
-                new CellAction.StopRun(
-                        run.target().info(), run.task().name(), run.number(), mTerm.fence()));
+        if (run.target().mayCall(mTerm.nowMs())) {
+            mTerm.emit(stopOrder(run.target(), run.task().name(), run.number()));
+        }
+    }
+
+    private CellAction.StopRun stopOrder(Target target, TaskName task, int run) {
+        return new CellAction.StopRun(target.info(), task, run, target.fence(mTerm.fence()));
     }
 
     void stopAnswered(CellEvent.StopAnswered event) {
@@ -230,6 +235,9 @@
      */
     void reported(Target target, TargetReport report, long sentMs, boolean exact) {
         ended(target, report, exact);
+        target.markRunsForOtherCell(
+                report.running().stream()
+                        .anyMatch(running -> !mTerm.ownsJob(running.task().job())));
         Map<TaskName, TargetReport.ActiveRun> activeRuns = new HashMap<>();
         for (TargetReport.ActiveRun activeRun : report.running()) {
             activeRuns.put(activeRun.task(), activeRun);
@@ -335,7 +343,7 @@
     private void foreignEnded(TargetReport.EndedRun endedRun) {
         mTerm.recordStarted(endedRun.task().job());
         if (endedRun.cause().done()) {
-            rememberDone(endedRun.task());
+            mForeignDone.add(endedRun.task());
         }
         CellJob job = mTerm.jobs().get(endedRun.task().job());
         if (job != null && markKnownDone(job)) {
@@ -343,15 +351,6 @@
         }
     }
 
-    private void rememberDone(TaskName task) {
-        mForeignDone.add(task);
-        if (mForeignDone.size() > MAX_FOREIGN_DONE) {
-            Iterator<TaskName> oldest = mForeignDone.iterator();
-            oldest.next();
-            oldest.remove();
-        }
-    }
-
     private void recordRunTime(Run run) {
         StepRequest step = run.task().step();
         String queue = run.task().job().request().queue();
@@ -431,6 +430,9 @@
 
     private void checkRun(Run run) {
         long timeoutMs = run.target().roundTrips().timeoutMs();
+        if (!run.target().mayCall(mTerm.nowMs())) {
+            return;
+        }
         if (run.startOverdue(mTerm.nowMs(), timeoutMs)) {
             startUnanswered(run);
         } else if (run.target().calls().unresponsive()) {
@@ -473,18 +475,18 @@
         return endMs;
     }
 
+    /** Stops runs that nobody has offered; those of another cell's jobs end with their lease. */
     private void stopForeign(Target target) {
+        if (!target.mayCall(mTerm.nowMs())) {
+            return;
+        }
         target.foreignRuns()
                 .forEach(
                         (foreign, sinceMs) -> {
-                            if (mTerm.nowMs() - sinceMs > FOREIGN_GRACE_MS) {
+                            boolean own = mTerm.ownsJob(foreign.task().job());
+                            if (own && mTerm.nowMs() - sinceMs > FOREIGN_GRACE_MS) {
                                 target.foreignRuns().put(foreign, mTerm.nowMs());
-                                mTerm.emit(
-                                        new CellAction.StopRun(
-                                                target.info(),
-                                                foreign.task(),
-                                                foreign.run(),
-                                                mTerm.fence()));
+                                mTerm.emit(stopOrder(target, foreign.task(), foreign.run()));
                             }
                         });
     }
--- a/core/src/main/java/org/boragegap/core/cell/Target.java
+++ b/core/src/main/java/org/boragegap/core/cell/Target.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.boragegap.core.loan.BorrowedTarget;
 
 /**
  * The state of one target: its lease, its clock, its runs and its free capacity.
@@ -44,6 +45,9 @@
     private int mConsecutiveFailures;
     private long mQuarantinedUntilMs;
     private long mUnreachableUntilMs;
+    private Optional<BorrowedTarget> mLoan = Optional.empty();
+    private boolean mRunsForOtherCell;
+    private long mOtherCellsLeaseEndMs = Long.MIN_VALUE;
 
     /**
      * Creates the state of a target.
@@ -75,16 +79,77 @@
         mUnlistedSinceMs = -1;
     }
 
+    /** Records that the list doesn't name the target; that of this cell never names another's. */
     void markUnlisted(long nowMs) {
-        if (mUnlistedSinceMs < 0) {
+        if (mUnlistedSinceMs < 0 && mLoan.isEmpty()) {
             mUnlistedSinceMs = nowMs;
         }
     }
 
+    boolean unlisted() {
+        return mUnlistedSinceMs >= 0;
+    }
+
     boolean unlistedFor(long nowMs, long spanMs) {
         return mUnlistedSinceMs >= 0 && nowMs - mUnlistedSinceMs > spanMs;
     }
 
+    // Loan
+
+    /** Records that the target belongs to another cell and is borrowed. */
+    void borrow(BorrowedTarget loan) {
+        mLoan = Optional.of(loan);
+    }
+
+    /** The loan of a borrowed target; empty for one of the own cell. */
+    Optional<BorrowedTarget> loan() {
+        return mLoan;
+    }
+
+    /** Fencing token for orders to the target, given that of the term. */
+    long fence(long termFence) {
+        return mLoan.map(BorrowedTarget::lenderFence).orElse(termFence);
+    }
+
+    /** True unless the target is borrowed and the loan is over. */
+    boolean mayCall(long nowMs) {
+        return mLoan.isEmpty() || mLoan.get().mayCall(nowMs);
+    }
+
+    /**
+     * Records until when a lease may last that the controller of another cell has granted.
+     *
+     * <p>Guards against a run that outlives its controller: a lease can't be shortened, and the
+     * next controller assumes that all runs have ended when its predecessor's membership has
+     * expired. So nothing is started before the own membership lasts as long.
+     */
+    void otherCellsLeaseUntil(long endMs) {
+        mOtherCellsLeaseEndMs = Math.max(mOtherCellsLeaseEndMs, endMs);
+    }
+
+    /** True when no lease that another cell's controller has granted lasts longer. */
+    boolean otherCellsLeaseEndsBy(long ms) {
+        return mOtherCellsLeaseEndMs <= ms;
+    }
+
+    /** The latest time at which a lease of the target may end, whoever has granted it. */
+    long lastLeaseEndMs() {
+        return Math.max(mLeaseEndMs, mOtherCellsLeaseEndMs);
+    }
+
+    /**
+     * True when the last report lists a run of another cell's job, started while the target was
+     * lent. Its borrower may not know yet that the loan has ended, and starts the task elsewhere
+     * when it thinks that the lease has expired, so the lease must not be extended.
+     */
+    boolean runsForOtherCell() {
+        return mRunsForOtherCell;
+    }
+
+    void markRunsForOtherCell(boolean runs) {
+        mRunsForOtherCell = runs;
+    }
+
     // Runs and capacity
 
     Map<TaskName, Run> runs() {
@@ -159,6 +224,8 @@
                 && !mLost
                 && !mCalls.unresponsive()
                 && !mInfo.draining()
+                && !mRunsForOtherCell
+                && (mLoan.isEmpty() || mLoan.get().mayStart(nowMs))
                 && mForeignRuns.isEmpty()
                 && nowMs >= mSchedulableFromMs
                 && nowMs >= mUnreachableUntilMs
@@ -197,10 +264,13 @@
 
     /**
      * Lease end on the target's clock for an order that is sent now: {@code leaseMs} from now, but
-     * not after {@code limitMs} on our clock, even if the target's clock is slow.
+     * not after {@code limitMs} or the end of its loan on our clock, even if the target's clock is
+     * slow.
      */
     long leaseEndOnTargetClock(long nowMs, long leaseMs, long limitMs) {
-        long cappedMs = mClockMs + (long) ((limitMs - mClockReadMs) * MIN_CLOCK_RATE);
+        long loanEndMs = mLoan.map(BorrowedTarget::endMs).orElse(Long.MAX_VALUE);
+        long lastMs = Math.min(limitMs, loanEndMs);
+        long cappedMs = mClockMs + (long) ((lastMs - mClockReadMs) * MIN_CLOCK_RATE);
         return Math.min(clockAt(nowMs) + leaseMs, cappedMs);
     }
 
@@ -262,6 +332,11 @@
         mSpeed += SPEED_WEIGHT * (Math.min(4.0, speed) - mSpeed);
     }
 
+    /** Takes over the speed that was measured before the target was lent. */
+    void assumeSpeed(double speed) {
+        mSpeed = speed;
+    }
+
     void recordSuccess() {
         mConsecutiveFailures = 0;
         mQuarantinedUntilMs = 0;
--- a/core/src/main/java/org/boragegap/core/cell/Term.java
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /** Everything that a controller knows in one term; a later term starts without it. */
 final class Term {
@@ -21,6 +22,14 @@
      */
     private static final long MAX_SUCCESSOR_UNLISTED_MS = 2_500;
 
+    /**
+     * A target of the cell that is lent to another one.
+     *
+     * @param info as last listed
+     * @param speed its measured speed
+     */
+    record LentTarget(TargetInfo info, double speed) {}
+
     private record ExpectedSuccessor(TargetInfo replaced, long sinceMs) {}
 
     private final long mFence;
@@ -36,6 +45,9 @@
                             .thenComparingLong(CellJob::latestStartMs)
                             .thenComparing(CellJob::id));
     private final Map<String, ExpectedSuccessor> mExpectedSuccessors = new HashMap<>();
+    private final Map<String, LentTarget> mLentTargets = new LinkedHashMap<>();
+    private Predicate<String> mOwnsJob = job -> true;
+    private boolean mLendsTargets;
     private boolean mTargetsListed;
     private boolean mRunSeen;
     private long mAnswerLostMs = Long.MIN_VALUE / 2;
@@ -95,6 +107,30 @@
         return mTargets;
     }
 
+    /** Targets that are lent, by id; they are not called, and not among {@link #targets}. */
+    Map<String, LentTarget> lentTargets() {
+        return mLentTargets;
+    }
+
+    /** Sets which jobs belong to the cell. */
+    void ownsJobs(Predicate<String> ownsJob) {
+        mOwnsJob = ownsJob;
+    }
+
+    /** Targets of the cell may be lent in this term, and may have been in an earlier one. */
+    void lendsTargets() {
+        mLendsTargets = true;
+    }
+
+    boolean mayHaveBeenLent() {
+        return mLendsTargets;
+    }
+
+    /** True when the job belongs to the cell. */
+    boolean ownsJob(String job) {
+        return mOwnsJob.test(job);
+    }
+
     /** Records that the platform's list of targets was read in this term. */
     void targetsListed() {
         mTargetsListed = true;
@@ -135,7 +171,9 @@
      * True when the target can take work now, and operators don't want its domain to be evacuated.
      */
     boolean acceptsWork(Target target) {
-        return target.schedulable(mNowMs) && mEvacuations.allows(target.info());
+        return target.schedulable(mNowMs)
+                && target.otherCellsLeaseEndsBy(mExclusiveUntilMs)
+                && mEvacuations.allows(target.info());
     }
 
     /** Crashed targets, by task. */
--- a/core/src/main/java/org/boragegap/core/loan/TargetBorrower.java
+++ b/core/src/main/java/org/boragegap/core/loan/TargetBorrower.java
@@ -110,9 +110,9 @@
         return mLoans.values();
     }
 
-    /** True when a request may be sent, so that the need is worth computing. */
+    /** True when a request may be sent, and there is a lender: the need is worth computing. */
     public boolean mayAsk(long nowMs) {
-        return mRequests.isDue(nowMs);
+        return mRequests.isDue(nowMs) && mLenders.mostIdle(mOwnCell, nowMs).isPresent();
     }
 
     /** Requests what is missing from the cell with the most idle targets. */
--- a/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
@@ -156,7 +156,7 @@
                         mInfo.id(),
                         order.task(),
                         order.run(),
-                        order.fence(),
+                        order.term(),
                         startResult(order, takesMs, fails)));
     }
 
--- a/core/src/test/java/org/boragegap/core/cell/Orders.java
+++ b/core/src/test/java/org/boragegap/core/cell/Orders.java
@@ -34,8 +34,7 @@
             return new CellEvent.LeaseFailed(id, extend.call(), result);
         }
         if (order instanceof CellAction.StartRun start) {
-            return new CellEvent.StartAnswered(
-                    id, start.task(), start.run(), start.fence(), result);
+            return new CellEvent.StartAnswered(id, start.task(), start.run(), start.term(), result);
         }
         CellAction.StopRun stop = (CellAction.StopRun) order;
         return new CellEvent.StopAnswered(id, stop.task(), stop.run(), false);
--- a/core/src/test/java/org/boragegap/core/cell/PredecessorsTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/PredecessorsTest.java
@@ -103,6 +103,26 @@
                     .isEqualTo(Knowledge.AWAITS_ANSWERS);
         }
 
+        /**
+         * Guards against tasks that run twice at a time: the reports of the listed targets don't
+         * tell what runs on the borrowed ones.
+         */
+        @Test
+        void whileALaterTermsBorrowedTargetsMayBeBusy() {
+            mPredecessors.termBegan(LAST_TERM, BEGAN_MS);
+            CellMessage.HeartbeatReply borrower =
+                    new CellMessage.HeartbeatReply(
+                            LAST_TERM + 1,
+                            new ClockReading(0, 0),
+                            false,
+                            true,
+                            LAST_TERM,
+                            200,
+                            0,
+                            true);
+            assertThat(assess(borrower, answer(true, 0, 0))).isEqualTo(Knowledge.TARGETS_UNKNOWN);
+        }
+
         /** The targets of a term that has just ended were not sent to this VM. */
         @Test
         void whileALaterTermsTargetsAreUnknown() {
@@ -130,9 +150,18 @@
         }
     }
 
+    /** Guards against tasks of the own last term that run twice at a time. */
+    @Test
+    void itsOwnBorrowedTargetsCountToo() {
+        mPredecessors.ownTermEnded(LAST_TERM, true, 9_500);
+        mPredecessors.termBegan(LAST_TERM, BEGAN_MS);
+        assertThat(assess(answer(true, 0, 0), answer(true, 0, 0)))
+                .isEqualTo(Knowledge.TARGETS_UNKNOWN);
+    }
+
     @Test
     void itsOwnLastTermCountsToo() {
-        mPredecessors.ownTermEnded(LAST_TERM, 9_500);
+        mPredecessors.ownTermEnded(LAST_TERM, false, 9_500);
         assertThat(mPredecessors.ownLeasesExpired(10_000)).isFalse();
         mPredecessors.termBegan(0, BEGAN_MS);
         assertThat(assess(answer(true, 0, 0), answer(true, 0, 0)))
--- a/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
+++ b/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.boragegap.core.ClockReading;
+import org.boragegap.core.loan.LenderDirectory;
 
 /** A controller with scripted operators, targets and callers, at times that the test sets. */
 final class ScriptedCell {
@@ -38,6 +39,16 @@
                 true);
     }
 
+    /** Makes this one of two cells that lend targets to each other, from the next term on. */
+    void lendAndBorrow(int cell, LenderDirectory directory) {
+        mController.partOf(CellLayout.ofCells(2), cell);
+        mController.lendAndBorrow(directory);
+    }
+
+    CellController controller() {
+        return mController;
+    }
+
     void on(long ms, CellEvent event) {
         mController.exclusiveUntil(ms + LEASE_MS);
         mController.on(event, new ClockReading(ms, ms), mActions);
@@ -123,7 +134,7 @@
         on(
                 ms,
                 new CellEvent.StartAnswered(
-                        start.target().id(), start.task(), start.run(), start.fence(), result));
+                        start.target().id(), start.task(), start.run(), start.term(), result));
     }
 
     <T extends CellAction> List<T> actions(Class<T> kind) {
--- a/entry/src/main/java/org/boragegap/entry/cell/OrderSender.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/OrderSender.java
@@ -41,7 +41,7 @@
                 result ->
                         mEvents.accept(
                                 new CellEvent.StartAnswered(
-                                        id, order.task(), order.run(), order.fence(), result)));
+                                        id, order.task(), order.run(), order.term(), result)));
     }
 
     void stop(CellAction.StopRun order) {
--- a/wire/src/main/java/org/boragegap/wire/CellFields.java
+++ b/wire/src/main/java/org/boragegap/wire/CellFields.java
@@ -209,6 +209,7 @@
             for (CellMessage.LentTarget lent : grant.targets()) {
                 packer.packLong(lent.loan());
                 RecordFields.packTarget(packer, lent.target());
+                packer.packLong(lent.leaseLeftMs());
             }
             RecordFields.packLongs(packer, grant.renewed());
         }
@@ -232,7 +233,7 @@
             for (int i = 0; i < count; i++) {
                 long loan = unpacker.unpackLong();
                 TargetInfo target = RecordFields.unpackTarget(unpacker);
-                targets.add(new CellMessage.LentTarget(loan, target));
+                targets.add(new CellMessage.LentTarget(loan, target, unpacker.unpackLong()));
             }
             return targets;
         }
--- a/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
+++ b/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
@@ -88,7 +88,7 @@
                         text, "q", "s", 1, count, 1.5, number, text, List.of(step, step), number);
         TargetInfo target =
                 new TargetInfo(text, "h:1", "s", "d", count, 1, 2, Set.of("a", text), flag, !flag);
-        CellMessage.LentTarget lent = new CellMessage.LentTarget(number, target);
+        CellMessage.LentTarget lent = new CellMessage.LentTarget(number, target, 5);
         List<CellMessage> messages =
                 List.of(
                         new CellMessage.Offer(number, job, 1, 2, count, number),
