Setting policy.loans, metrics and messages of loans in the entry process

Change: with policy.loans = on (default off) the members of all cells of a VM share a LenderDirectory and lend targets to each other. A message to the controller of another cell goes to the member of that cell at its VM; on the same VM it is posted to the control thread, since its handling must not nest. New gauges boragegap.control.targets.lent and boragegap.control.targets.borrowed. deploy/entry.ini doesn't set it.

Not run with processes.

--- a/entry/src/main/java/org/boragegap/entry/Setting.java
+++ b/entry/src/main/java/org/boragegap/entry/Setting.java
@@ -182,6 +182,13 @@
             "POWER_OF_TWO",
             "choice among targets"),
     ORDER("policy", "order", SettingType.oneOf("FIFO", "FAIR"), "", "FAIR", "order of the queue"),
+    LOANS(
+            "policy",
+            "loans",
+            SettingType.oneOf("on", "off"),
+            "",
+            "off",
+            "whether cells lend idle targets to each other"),
     FAR_FACTOR(
             "policy",
             "far_factor",
--- a/entry/src/main/java/org/boragegap/entry/cell/CellMemberDriver.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellMemberDriver.java
@@ -81,6 +81,8 @@
     private void execute(MemberAction action) {
         if (action instanceof MemberAction.Send send) {
             mOutput.send(send.address(), send.message());
+        } else if (action instanceof MemberAction.SendToCell send) {
+            mOutput.sendToCell(send.address(), send.cell(), send.message());
         } else if (action instanceof MemberAction.Order order) {
             execute(order.order());
         } else if (action instanceof MemberAction.Reply reply) {
--- a/entry/src/main/java/org/boragegap/entry/cell/CellMetrics.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellMetrics.java
@@ -43,6 +43,8 @@
         gauge("boragegap.control.targets.open", CellState::schedulable);
         gauge("boragegap.control.jobs", CellState::jobs);
         gauge("boragegap.control.runs", CellState::runs);
+        gauge("boragegap.control.targets.lent", CellState::lent);
+        gauge("boragegap.control.targets.borrowed", CellState::borrowed);
         Gauge.builder("boragegap.callers.waiting", this, m -> m.mWaitingCallers)
                 .register(mRegistry);
         Gauge.builder("boragegap.config.version", this, m -> m.mConfigVersion).register(mRegistry);
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -24,6 +24,7 @@
 import org.boragegap.core.cell.EntryEvent;
 import org.boragegap.core.cell.MemberEvent;
 import org.boragegap.core.cell.TargetInfo;
+import org.boragegap.core.loan.LenderDirectory;
 import org.boragegap.entry.Setting;
 import org.boragegap.entry.Settings;
 import org.boragegap.http.HttpClient;
@@ -97,6 +98,9 @@
     private final CountDownLatch mDrained = new CountDownLatch(1);
     private volatile Cells mCells = Cells.none();
 
+    /** Used by the control thread only. */
+    private final LenderDirectory mLenders = LenderDirectory.create();
+
     /** Failure domains to be evacuated, once known. Used by the control thread only. */
     private Optional<Set<String>> mEvacuatedDomains = Optional.empty();
 
@@ -252,6 +256,9 @@
         long leaseMs = Math.max(configuredMs, layout.minLeaseMs());
         CellMember member = CellMember.create(mSelf, cell, settings, leaseMs, began);
         member.deployment(layout.cells(), cpuMillis);
+        if (mSettings.text(Setting.LOANS).equals("on")) {
+            member.lendAndBorrow(mLenders);
+        }
         return new CellMemberDriver(member, new Output(cell));
     }
 
@@ -415,6 +422,16 @@
             mChannel.send(address, message);
         }
 
+        @Override
+        public void sendToCell(String address, int cell, CellMessage message) {
+            if (address.equals(mSelf)) {
+                MemberEvent event = new MemberEvent.Received(mSelf, message);
+                mThread.post(() -> mCells.on(cell, event));
+            } else {
+                mPeers.channel(cell).send(address, message);
+            }
+        }
+
         @Override
         public void extend(CellAction.ExtendLease order) {
             mOrderSender.extend(order);
--- a/entry/src/main/java/org/boragegap/entry/cell/CellOutput.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellOutput.java
@@ -9,6 +9,9 @@
     /** Sends a message to another entry VM. */
     void send(String address, CellMessage message);
 
+    /** Sends a message to the controller of another cell, which may be on this VM. */
+    void sendToCell(String address, int cell, CellMessage message);
+
     /** Calls a target to extend its lease. */
     void extend(CellAction.ExtendLease order);
 
