--- a/core/src/test/java/org/boragegap/core/cell/FakePlatform.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakePlatform.java
@@ -35,10 +35,15 @@
     private int mNextTarget = 1;
 
     FakePlatform(SimulatedClock clock, SplittableRandom random, InvariantChecker oracle) {
+        this(clock, random, oracle, TARGETS);
+    }
+
+    FakePlatform(
+            SimulatedClock clock, SplittableRandom random, InvariantChecker oracle, int targets) {
         mClock = clock;
         mRandom = random;
         mOracle = oracle;
-        for (int i = 0; i < TARGETS; i++) {
+        for (int i = 0; i < targets; i++) {
             addTarget("address" + i, domain(i));
         }
     }
