--- a/core/src/main/java/org/boragegap/core/cell/AdmissionControl.java
+++ b/core/src/main/java/org/boragegap/core/cell/AdmissionControl.java
@@ -117,7 +117,8 @@
 
     private boolean isUsable(Target target) {
         boolean usable = target.reported() && !target.lost() && !target.info().draining();
-        return usable && mTerm.evacuations().allows(target.info()) && !target.quarantined();
+        usable &= mTerm.evacuations().allows(target.info()) && target.mayCall(mTerm.nowMs());
+        return usable && !target.quarantined();
     }
 
     /** When the places for tasks of this size become free. */
--- a/core/src/main/java/org/boragegap/core/cell/CellController.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.boragegap.core.ClockReading;
+import org.boragegap.core.loan.LenderDirectory;
 import org.boragegap.core.records.KnownRecords;
 import org.boragegap.core.records.RecentJobs;
 import org.boragegap.core.speed.CellSpeeds;
@@ -51,6 +52,12 @@
     private long mExclusiveUntilMs = Long.MAX_VALUE;
     private boolean mPredecessorsKnown;
     private boolean mPredecessorLeasesExpired;
+    private CellLayout mLayout = CellLayout.ofCells(1);
+    private int mCell;
+    private Optional<LenderDirectory> mDirectory = Optional.empty();
+
+    /** Loans of the term; empty if targets are neither lent nor borrowed. */
+    private Optional<CellLoans> mLoans = Optional.empty();
 
     private CellController(CellSettings settings, KnownRecords records) {
         mSettings = settings;
@@ -81,6 +88,27 @@
         return mStarted.evictedMs();
     }
 
+    /** Sets which of the deployment's cells this is; without it there is only this one. */
+    void partOf(CellLayout layout, int cell) {
+        mLayout = layout;
+        mCell = cell;
+    }
+
+    /** Lends and borrows targets from the next term on. */
+    void lendAndBorrow(LenderDirectory directory) {
+        mDirectory = Optional.of(directory);
+    }
+
+    /** Number of targets that this controller would lend to other cells. */
+    int lendableTargets() {
+        return mTerm == null || !mSettled ? 0 : mLoans.map(CellLoans::lendable).orElse(0);
+    }
+
+    /** True when this term may have started tasks on borrowed targets. */
+    boolean hasBorrowed() {
+        return mTerm != null && mLoans.map(CellLoans::hasBorrowed).orElse(false);
+    }
+
     /** Fencing token of the current term; empty when this VM does not control the cell. */
     public Optional<Long> fence() {
         return Optional.ofNullable(mTerm).map(Term::fence);
@@ -111,7 +139,13 @@
             schedulable += mTerm.acceptsWork(target) ? 1 : 0;
         }
         return new CellState(
-                mTerm.fence(), mTerm.targets().size(), schedulable, mTerm.jobs().size(), runs);
+                mTerm.fence(),
+                mTerm.targets().size(),
+                schedulable,
+                mTerm.jobs().size(),
+                runs,
+                mLoans.map(CellLoans::lent).orElse(0),
+                mLoans.map(CellLoans::borrowed).orElse(0));
     }
 
     /**
@@ -129,7 +163,7 @@
         if (event instanceof CellEvent.TermBegan began) {
             begin(began, clock, actions);
         } else if (event instanceof CellEvent.TermEnded) {
-            end(actions);
+            end(clock, actions);
         } else if (event instanceof CellEvent.DomainsEvacuated evacuated) {
             evacuate(evacuated, actions);
         } else if (event instanceof CellEvent.CrashReported reported) {
@@ -141,8 +175,12 @@
         }
         mTerm.beginEvent(clock.monotonicMs(), actions);
         mTerm.exclusiveUntil(mExclusiveUntilMs);
-        handle(event);
+        mLoans.ifPresent(loans -> loans.beginEvent(clock));
+        handle(event, clock);
         schedule();
+        if (!mTerm.waiting().isEmpty() && mSettled) {
+            mLoans.ifPresent(loans -> loans.askIfNeeded(clock));
+        }
     }
 
     private void begin(CellEvent.TermBegan began, ClockReading clock, List<CellAction> actions) {
@@ -154,6 +192,9 @@
         mCrashDetector = new CrashDetector(mTerm);
         mRuns = new RunTracker(mTerm, mRunTimes, mCrashDetector);
         mLeases = new LeaseManager(mTerm, mRuns, mCrashDetector, () -> mNextCall++);
+        mTerm.ownsJobs(job -> mLayout.cellOfJob(job) == mCell);
+        mDirectory.ifPresent(known -> mTerm.lendsTargets());
+        mLoans = mDirectory.map(known -> new CellLoans(mCell, mTerm, mLeases, known));
         mPlacement = new Placement(mTerm, mSettings, mRunTimes);
         mJobs =
                 new JobLifecycle(
@@ -171,10 +212,12 @@
         began.previousTargets().ifPresent(mLeases::inherit);
     }
 
-    private void end(List<CellAction> actions) {
+    private void end(ClockReading clock, List<CellAction> actions) {
         if (mTerm == null) {
             return;
         }
+        mTerm.beginEvent(clock.monotonicMs(), actions);
+        mLoans.ifPresent(CellLoans::termEnds);
         actions.add(
                 new CellAction.Log(
                         Decision.self(
@@ -193,7 +236,7 @@
         }
     }
 
-    private void handle(CellEvent event) {
+    private void handle(CellEvent event, ClockReading clock) {
         if (event instanceof CellEvent.TargetsListed listed) {
             mLeases.updateTargets(listed.targets());
             mJobs.refuseInfeasible();
@@ -221,6 +264,11 @@
             mRuns.tick();
             mTerm.measureSpeeds();
             mJobs.tick();
+            if (mSettled) {
+                mLoans.ifPresent(loans -> loans.tick(clock));
+            }
+        } else if (event instanceof CellEvent.LoanMessageReceived loan) {
+            mLoans.ifPresent(loans -> loans.received(loan.from(), loan.message(), clock, mSettled));
         }
     }
 
--- a/core/src/main/java/org/boragegap/core/cell/CellEvent.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellEvent.java
@@ -70,6 +70,7 @@
             int controllers,
             long number)
             implements CellEvent {
+        /** The event for an offer that was received. */
         static Offered of(String entryVm, CellMessage.Offer offer) {
             return new Offered(
                     entryVm,
@@ -148,6 +149,14 @@
         }
     }
 
+    /**
+     * The controller of another cell has sent a message about a loan.
+     *
+     * @param from peer address of its VM
+     * @param message the message
+     */
+    record LoanMessageReceived(String from, CellMessage message) implements CellEvent {}
+
     /** Periodic timer event. */
     record Ticked() implements CellEvent {}
 }
--- a/core/src/main/java/org/boragegap/core/cell/StartRecordExchange.java
+++ b/core/src/main/java/org/boragegap/core/cell/StartRecordExchange.java
@@ -132,6 +132,12 @@
         return jobs;
     }
 
+    /** True for messages that concern records alone. */
+    static boolean handles(CellMessage message) {
+        return message instanceof CellMessage.StartRecords
+                || message instanceof CellMessage.StartRecordsReceived;
+    }
+
     /** Takes what a message tells about records; returns the receipt to send, if one is due. */
     Optional<CellMessage> received(String from, CellMessage message, long nowMs) {
         if (!from.equals(mSelf)) {
--- a/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
+++ b/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
@@ -91,6 +91,7 @@
         TargetInfo target =
                 new TargetInfo(
                         text, "h:1", "s", "d", count, 1, 2, Set.of("a", text), flag, !flag, number);
+        CellMessage.LentTarget lent = new CellMessage.LentTarget(number, target, 5);
         List<CellMessage> messages =
                 List.of(
                         new CellMessage.Offer(number, job, 1, 2, count, number),
@@ -100,6 +101,7 @@
                         new CellMessage.Decided(text, 1, new Verdict.Declined(text, number)),
                         new CellMessage.Decided(text, number, new Verdict.InDoubt(text)),
                         new CellMessage.Heartbeat(number, clock, 150),
+                        new CellMessage.Heartbeat(number, clock, 150, count),
                         new CellMessage.Leaving(number),
                         new CellMessage.ControllerMissing(number, count),
                         new CellMessage.Targets(number, 1, List.of(target, target)),
@@ -119,7 +121,15 @@
                                         1,
                                         2,
                                         List.of(text, "a"))),
-                        new CellMessage.StartRecordsReceived(number, count));
+                        new CellMessage.StartRecordsReceived(number, count),
+                        new CellMessage.HeartbeatReply(
+                                number, clock, flag, !flag, 1, number, 3, flag),
+                        new CellMessage.LoanRequest(
+                                count, number, 1, 2, text, count, 3, List.of(number, 4L)),
+                        new CellMessage.LoanGrant(
+                                count, number, 1, 2, 3, List.of(lent, lent), List.of(number)),
+                        new CellMessage.LoanReturn(count, number, 1, List.of(number, 2L)),
+                        new CellMessage.LoanRecall(count, number, List.of(number, 2L)));
         List<PeerMessage.Cell> cells =
                 messages.stream().map(one -> new PeerMessage.Cell("h:1", count, one)).toList();
         for (PeerMessage.Cell cell : cells) {
