--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.boragegap.core.ClockReading;
+import org.boragegap.core.loan.LenderDirectory;
 import org.boragegap.core.records.KnownRecords;
 
 /**
@@ -21,6 +22,8 @@
     private static final long MISSING_READ_INTERVAL_MS = 400;
 
     private final String mSelf;
+    private final int mCell;
+    private final HeardLenders mLenders;
     private final HeartbeatTiming mTiming = new HeartbeatTiming();
     private final HeartbeatSchedule mHeartbeats = new HeartbeatSchedule();
     private final PendingJobs mPendingJobs;
@@ -31,6 +34,7 @@
     private final Followers mFollowers = new Followers();
     private final LatestTargetList mTargets = new LatestTargetList();
     private final Predecessors mPredecessors = new Predecessors();
+    private final HeartbeatReplies mReplies;
     private final ControllerSearch mSearch;
     private final StartRecordExchange mRecords;
     private long mMembersReadMs;
@@ -40,11 +44,14 @@
     private CellMember(
             String self, int cell, CellSettings settings, long groupLeaseMs, ClockReading start) {
         mSelf = self;
+        mCell = cell;
+        mLenders = new HeardLenders(cell);
         mPendingJobs = PendingJobs.create(mTiming, start);
         KnownRecords known = KnownRecords.create();
         mController = CellController.create(settings, known);
         mRecords = new StartRecordExchange(self, mPendingJobs, mController, known, start);
         mMembership = Membership.create(groupLeaseMs, start);
+        mReplies = new HeartbeatReplies(mMembership, mPredecessors, mTargets);
         mSearch = new ControllerSearch(self, cell, mMembership, mPendingJobs, mFollowers, mTiming);
     }
 
@@ -71,13 +78,25 @@
     }
 
     /**
-     * Sets the size of the deployment, on which the period of heartbeats depends.
+     * Sets the size of the deployment, on which the period of heartbeats depends, and which jobs
+     * belong to the cell.
      *
      * @param cells number of cells in the deployment
      * @param cpuMillis processor of this VM, in thousandths of a core
      */
     public void deployment(int cells, int cpuMillis) {
         mHeartbeats.deployment(cells, cpuMillis);
+        mController.partOf(CellLayout.ofCells(cells), mCell);
+    }
+
+    /**
+     * Lends targets to other cells and borrows from them.
+     *
+     * @param directory controllers of all cells, shared by this VM's members of all cells
+     */
+    public void lendAndBorrow(LenderDirectory directory) {
+        mLenders.recordIn(directory);
+        mController.lendAndBorrow(directory);
     }
 
     /**
@@ -166,7 +185,9 @@
     // Membership
 
     private void joined(MemberEvent.Joined joined) {
-        boolean holds = joined.holdsCell() && !hearsAnotherController();
+        boolean holds =
+                joined.holdsCell()
+                        && !mSearch.hearsAnotherController(wantsCell(), mClock.monotonicMs());
         boolean again = mMembership.joined(joined.generation(), holds, joined.sent(), mClock);
         updateTerm();
         if (mMembership.recentlyJoined(mClock)) {
@@ -177,16 +198,6 @@
         }
     }
 
-    /**
-     * Guards against a cell that is assigned to a VM that is no longer a candidate: it has heard
-     * the controller meanwhile, and would depose a healthy one. The group learns of this with the
-     * next join. Heartbeats that this VM heard from itself, before its own term ended, don't count.
-     */
-    private boolean hearsAnotherController() {
-        Optional<String> heard = mPendingJobs.controller(mClock.monotonicMs());
-        return !wantsCell() && heard.filter(address -> !address.equals(mSelf)).isPresent();
-    }
-
     private void peersListed(MemberEvent.PeersListed listed) {
         mFollowers.updatePeers(listed.peers(), mClock.monotonicMs());
         mRecords.membersListed(listed, mClock.monotonicMs());
@@ -206,7 +217,8 @@
         }
         if (term.isPresent()) {
             if (!mController.hasAffectedNoTarget()) {
-                mPredecessors.ownTermEnded(term.get(), mClock.monotonicMs());
+                boolean borrowed = mController.hasBorrowed();
+                mPredecessors.ownTermEnded(term.get(), borrowed, mClock.monotonicMs());
                 mRecords.termEnded(term.get(), mMembership.lastHeld());
             }
             toController(new CellEvent.TermEnded());
@@ -319,6 +331,7 @@
             CellMessage.Heartbeat heartbeat = heartbeat(fence.get());
             mTiming.periodAnnounced(heartbeat.periodMs());
             broadcast(heartbeat);
+            mLenders.heard(mSelf, heartbeat, mClock);
             toPending(new EntryEvent.ControllerHeard(mSelf, fence.get()));
         }
     }
@@ -329,13 +342,10 @@
         }
     }
 
-    private void broadcastTargets(List<TargetInfo> targets) {
-        broadcast(mTargets.createNext(mController.fence().orElseThrow(), targets));
-    }
-
     private CellMessage.Heartbeat heartbeat(long fence) {
         long periodMs = mHeartbeats.periodMs(mFollowers.peers().size());
-        return new CellMessage.Heartbeat(fence, mClock, periodMs);
+        int lendable = mController.lendableTargets();
+        return new CellMessage.Heartbeat(fence, mClock, periodMs, lendable);
     }
 
     /** Last heartbeat that a majority endorsed; empty while this VM reaches the store itself. */
@@ -368,6 +378,8 @@
                     new CellEvent.CrashReported(crash.task(), crash.target(), crash.evidence()));
         } else if (message instanceof CellMessage.HeartbeatReply reply) {
             heartbeatReplyReceived(from, reply);
+        } else if (!StartRecordExchange.handles(message)) {
+            toController(new CellEvent.LoanMessageReceived(from, message));
         }
     }
 
@@ -387,6 +399,7 @@
         if (isLaterTerm(heartbeat.fence())) {
             deposed(heartbeat.fence());
         }
+        mLenders.heard(from, heartbeat, mClock);
         for (CellMessage records : mRecords.toController(heartbeat.fence(), mClock)) {
             mActions.add(new MemberAction.Send(from, records));
         }
@@ -397,24 +410,8 @@
         if (mController.fence().isEmpty() && heartbeat.fence() == mPendingJobs.fence()) {
             mSearch.controllerHeard(from, mActions);
         }
-        mActions.add(new MemberAction.Send(from, heartbeatReply(heartbeat.sent())));
-    }
-
-    private CellMessage.HeartbeatReply heartbeatReply(ClockReading heartbeat) {
-        boolean storeSilent = mMembership.storeSilent(mClock);
-        if (storeSilent) {
-            mMembership.endorsedController(mClock);
-        }
-        boolean sawNoOutage = mMembership.sawNoOutage(mClock);
-        long fence = mPendingJobs.fence();
-        return new CellMessage.HeartbeatReply(
-                fence,
-                heartbeat,
-                storeSilent,
-                sawNoOutage,
-                mPredecessors.lastOwnFence(),
-                mPredecessors.lastOwnTermEndedAgoMs(mClock.monotonicMs()),
-                mTargets.version(fence));
+        CellMessage reply = mReplies.reply(heartbeat, mPendingJobs.fence(), mClock);
+        mActions.add(new MemberAction.Send(from, reply));
     }
 
     private void heartbeatReplyReceived(String from, CellMessage.HeartbeatReply reply) {
@@ -458,9 +455,11 @@
                     answer.entryVm(),
                     new CellMessage.Decided(answer.job(), answer.number(), answer.verdict()));
         } else if (action instanceof CellAction.BroadcastTargets list) {
-            broadcastTargets(list.targets());
+            broadcast(mTargets.createNext(mController.fence().orElseThrow(), list.targets()));
         } else if (action instanceof CellAction.BroadcastCrash crash) {
             broadcast(new CellMessage.Crashed(crash.task(), crash.target(), crash.evidence()));
+        } else if (action instanceof CellAction.SendLoan loan) {
+            mActions.add(new MemberAction.SendToCell(loan.address(), loan.cell(), loan.message()));
         } else if (action instanceof CellAction.Deposed) {
             deposed(mPendingJobs.fence());
         } else if (action instanceof CellAction.Log log) {
--- a/core/src/main/java/org/boragegap/core/cell/Term.java
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import org.boragegap.core.records.KnownRecords;
 import org.boragegap.core.records.RecentJobs;
 import org.boragegap.core.speed.CellSpeeds;
@@ -24,6 +25,14 @@
      */
     private static final long MAX_SUCCESSOR_UNLISTED_MS = 2_500;
 
+    /**
+     * A target of the cell that is lent to another one.
+     *
+     * @param info as last listed
+     * @param speed its measured speed
+     */
+    record LentTarget(TargetInfo info, double speed) {}
+
     private record ExpectedSuccessor(TargetInfo replaced, long sinceMs) {}
 
     private final long mFence;
@@ -42,6 +51,9 @@
     private final Map<String, ExpectedSuccessor> mExpectedSuccessors = new HashMap<>();
     private final UnansweredStarts mUnansweredStarts = new UnansweredStarts(this);
     private CellSpeeds mSpeeds = CellSpeeds.create(false);
+    private final Map<String, LentTarget> mLentTargets = new LinkedHashMap<>();
+    private Predicate<String> mOwnsJob = job -> true;
+    private boolean mLendsTargets;
     private boolean mTargetsListed;
     private boolean mRunSeen;
     private long mAnswerLostMs = Long.MIN_VALUE / 2;
@@ -91,6 +103,11 @@
         return mNowMs;
     }
 
+    /** The latest time at which a lease that an earlier controller granted just now may end. */
+    long earlierLeaseEndMs() {
+        return mNowMs + (long) Math.ceil(LeaseManager.LEASE_MS / Target.MIN_CLOCK_RATE);
+    }
+
     void emit(CellAction action) {
         mActions.add(action);
     }
@@ -108,6 +125,30 @@
         return mUnansweredStarts;
     }
 
+    /** Targets that are lent, by id; they are not called, and not among {@link #targets}. */
+    Map<String, LentTarget> lentTargets() {
+        return mLentTargets;
+    }
+
+    /** Sets which jobs belong to the cell. */
+    void ownsJobs(Predicate<String> ownsJob) {
+        mOwnsJob = ownsJob;
+    }
+
+    /** Targets of the cell may be lent in this term, and may have been in an earlier one. */
+    void lendsTargets() {
+        mLendsTargets = true;
+    }
+
+    boolean mayHaveBeenLent() {
+        return mLendsTargets;
+    }
+
+    /** True when the job belongs to the cell. */
+    boolean ownsJob(String job) {
+        return mOwnsJob.test(job);
+    }
+
     /** Records that the platform's list of targets was read in this term. */
     void targetsListed() {
         mTargetsListed = true;
@@ -150,6 +191,7 @@
     boolean acceptsWork(Target target) {
         return target.schedulable(mNowMs)
                 && target.leaseEndsBy(mExclusiveUntilMs)
+                && target.otherCellsLeaseEndsBy(mExclusiveUntilMs)
                 && mEvacuations.allows(target.info());
     }
 
--- a/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
@@ -179,7 +179,7 @@
                         mInfo.id(),
                         order.task(),
                         order.run(),
-                        order.fence(),
+                        order.term(),
                         startResult(order, takesMs, fails),
                         mInfo.incarnation()));
     }
--- a/entry/src/main/java/org/boragegap/entry/cell/OrderSender.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/OrderSender.java
@@ -45,7 +45,7 @@
                                         id,
                                         order.task(),
                                         order.run(),
-                                        order.fence(),
+                                        order.term(),
                                         answer.result(),
                                         answer.incarnation())));
     }
