--- a/core/src/main/java/org/boragegap/core/cell/RunTracker.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunTracker.java
@@ -239,9 +239,7 @@
      */
     void reported(Target target, TargetReport report, long sentMs, boolean exact) {
         ended(target, report, exact);
-        target.markRunsForOtherCell(
-                report.running().stream()
-                        .anyMatch(running -> !mTerm.ownsJob(running.task().job())));
+        target.markRunsForOtherCell(mTerm.listsRunOfOtherCell(report));
         Map<TaskName, TargetReport.ActiveRun> activeRuns = new HashMap<>();
         for (TargetReport.ActiveRun activeRun : report.running()) {
             activeRuns.put(activeRun.task(), activeRun);
--- a/core/src/main/java/org/boragegap/core/cell/Term.java
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -144,6 +144,12 @@
         return mLendsTargets;
     }
 
+    /** True when the report lists a run of another cell's job; never without loans. */
+    boolean listsRunOfOtherCell(TargetReport report) {
+        return mLendsTargets
+                && report.running().stream().anyMatch(run -> !ownsJob(run.task().job()));
+    }
+
     /** True when the job belongs to the cell. */
     boolean ownsJob(String job) {
         return mOwnsJob.test(job);
