--- a/core/src/main/java/org/boragegap/core/cell/AdmissionControl.java
+++ b/core/src/main/java/org/boragegap/core/cell/AdmissionControl.java
@@ -21,9 +21,8 @@
     private static final double MAX_SLACK_SHARE = 0.2;
 
     /**
-     * The same where the wait is forecast from the ends of the running tasks, which takes into
-     * account what {@link #MAX_SLACK_SHARE} leaves room for. In the simulation of deployment B at
-     * 1.6 times the mean rate, 0.945 of the worth was in time, and 0.941 with a share of 0.65.
+     * The same where the wait is forecast from the ends of the running tasks, which leaves less
+     * uncertain than the amount of work alone.
      */
     private static final double MAX_FORECAST_SHARE = 0.8;
 
--- a/core/src/main/java/org/boragegap/core/cell/HeartbeatTiming.java
+++ b/core/src/main/java/org/boragegap/core/cell/HeartbeatTiming.java
@@ -52,8 +52,7 @@
 
     /**
      * Longest period that weak receivers cause, in ms. The group drops a lost controller one second
-     * after its last join. Two missed periods are 666 ms, so a candidate is found before that, and
-     * the longer period does not delay the next term.
+     * after its last join. Two missed periods are 666 ms, so its loss is noticed before that.
      */
     private static final long MAX_WEAK_RECEIVER_PERIOD_MS = 333;
 
