Logs: what a new term knows of earlier ones

Operators couldn't tell from the log why a controller had taken earlier ones for over: the line named the number of VMs and the verdict. It now states the fencing token, the age of the term, the inherited token, VMs that haven't answered and the last terms of those that had one; the line of a settled term names targets that haven't reported. Lists are bounded to eight entries. No decision changes.

--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -266,7 +266,12 @@
             return;
         }
         Predecessors.Knowledge knowledge = mPredecessors.known();
-        log(Decision.self("predecessors", "vms=" + peers.size(), knowledge.name()));
+        String inputs =
+                "fence="
+                        + mController.fence().orElse(0L)
+                        + " "
+                        + mPredecessors.inputs(peers, mClock.monotonicMs());
+        log(Decision.self("predecessors", inputs, knowledge.name()));
         if (knowledge.isSufficient()) {
             boolean leasesExpired = knowledge == Predecessors.Knowledge.OVER;
             toController(new CellEvent.PredecessorsKnown(leasesExpired));
--- a/core/src/main/java/org/boragegap/core/cell/Predecessors.java
+++ b/core/src/main/java/org/boragegap/core/cell/Predecessors.java
@@ -1,10 +1,13 @@
 package org.boragegap.core.cell;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * What a new controller knows about earlier controllers: whether their tasks may still be running.
@@ -20,6 +23,9 @@
      */
     private static final long LEASE_EXPIRED_AFTER_MS = 1_100;
 
+    /** Maximum number of VMs that a log entry names. */
+    private static final int MAX_LOGGED_VMS = 8;
+
     /** What is known about earlier controllers. */
     enum Knowledge {
         /** Not all entry VMs in the group have replied yet. */
@@ -177,6 +183,46 @@
         return targetsKnown ? Knowledge.TARGETS_KNOWN : Knowledge.TARGETS_UNKNOWN;
     }
 
+    /**
+     * What the knowledge rests on, for the log: how many VMs were listed and have answered, those
+     * that haven't, and the last terms of those that had one.
+     *
+     * @param peers the other entry VMs in the group
+     */
+    String inputs(Set<String> peers, long nowMs) {
+        Set<String> unanswered = new TreeSet<>(peers);
+        unanswered.removeAll(mAnswered.keySet());
+        StringBuilder terms = new StringBuilder();
+        new TreeMap<>(mAnswered)
+                .entrySet().stream()
+                        .filter(peer -> peer.getValue().lastOwnFence() != 0)
+                        .sorted(Comparator.comparingLong(peer -> -peer.getValue().lastOwnFence()))
+                        .limit(MAX_LOGGED_VMS)
+                        .forEach(
+                                peer ->
+                                        terms.append(' ')
+                                                .append(peer.getKey())
+                                                .append("=fence:")
+                                                .append(peer.getValue().lastOwnFence())
+                                                .append(",ended_ago_ms:")
+                                                .append(peer.getValue().endedAgoMs()));
+        return "term_age_ms="
+                + (nowMs - mTermBeganMs)
+                + " inherited_fence="
+                + mInheritedFence
+                + " own_last_fence="
+                + mLastOwnFence
+                + " vms="
+                + peers.size()
+                + " answered="
+                + mAnswered.size()
+                + " unanswered="
+                + unanswered.stream().limit(MAX_LOGGED_VMS).toList()
+                + " terms=["
+                + terms.toString().strip()
+                + "]";
+    }
+
     private boolean majoritySawNoOutage(Set<String> peers, boolean ownSawNoOutage) {
         int sawNoOutage = ownSawNoOutage ? 1 : 0;
         for (String peer : peers) {
--- a/core/src/main/java/org/boragegap/core/cell/Settlement.java
+++ b/core/src/main/java/org/boragegap/core/cell/Settlement.java
@@ -1,5 +1,7 @@
 package org.boragegap.core.cell;
 
+import java.util.List;
+
 /**
  * Whether a term knows everything that earlier controllers started, so that it may start tasks.
  *
@@ -27,6 +29,9 @@
      */
     private static final long FIRST_REPORT_WAIT_MS = 250;
 
+    /** Maximum number of targets that a log entry names. */
+    private static final int MAX_LOGGED_TARGETS = 8;
+
     private final Term mTerm;
     private final CellSettings mSettings;
     private boolean mPredecessorsKnown;
@@ -92,13 +97,23 @@
 
     private String inputs() {
         long reported = mTerm.targets().values().stream().filter(Target::reported).count();
-        return "term_age_ms="
+        List<String> unreported =
+                mTerm.targets().values().stream()
+                        .filter(target -> !target.reported())
+                        .map(Target::id)
+                        .limit(MAX_LOGGED_TARGETS)
+                        .toList();
+        return "fence="
+                + mTerm.fence()
+                + " term_age_ms="
                 + ageMs()
                 + " targets="
                 + mTerm.targets().size()
                 + " reported="
                 + reported
                 + " leases_expired="
-                + (mPredecessorLeasesExpired || leasesExpired());
+                + (mPredecessorLeasesExpired || leasesExpired())
+                + " unreported="
+                + unreported;
     }
 }
