Histories: the store's group takes the freedoms of its protocol

The simulated group listed each member at all times and handed the cell over only when its owner had confirmed. The protocol says less: partitions may all be reassigned at once without any request, and a member that holds none for a moment has no row in the list of owners. Three kinds of histories do both, with restarts of VMs, and with the group lease of 3 s that layouts with weak VMs have.

--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -47,10 +47,19 @@
 
     /** Creates a history that traces the actions of its processes and the injected failures. */
     CellHistory(long seed, HistoryTrace trace) {
+        this(seed, trace, FakeGroup.LEASE_MS);
+    }
+
+    /**
+     * Creates a history with another lease of the group.
+     *
+     * @param groupLeaseMs how long the group keeps a silent member, in ms
+     */
+    CellHistory(long seed, HistoryTrace trace, long groupLeaseMs) {
         mTrace = trace;
         mRandom = new SplittableRandom(seed);
         mDelays = new NetworkDelays(mRandom);
-        mGroup = new FakeGroup(mRandom.split());
+        mGroup = new FakeGroup(mRandom.split(), groupLeaseMs);
         mPlatform = new FakePlatform(mClock, mRandom, mInvariants, trace);
         mOrders =
                 new OrderTransport(mClock, mRandom, mDelays, mRates, mPlatform, mInvariants, trace);
@@ -61,6 +70,34 @@
         }
     }
 
+    /**
+     * Simulates the usual failures while the group takes all freedoms that its protocol leaves it.
+     */
+    List<String> playReassignments() {
+        mGroup.useAllFreedoms();
+        return play();
+    }
+
+    /** Same, while VMs are stopped as planned or killed one after the other. */
+    List<String> playReassignmentsAndRestarts() {
+        mGroup.useAllFreedoms();
+        for (long at = 2_000; at < FAULTS_UNTIL_MS; at += 400 + mRandom.nextInt(1_200)) {
+            FakeEntryVm vm = mVms.get(mRandom.nextInt(VMS));
+            boolean planned = mRandom.nextBoolean();
+            long downMs = 300 + mRandom.nextLong(700);
+            after(
+                    at,
+                    () -> {
+                        if (planned) {
+                            stopAsPlanned(vm);
+                        } else {
+                            kill(vm, downMs);
+                        }
+                    });
+        }
+        return play();
+    }
+
     /** Simulates the usual failures while the store takes up to 340 ms for each answer. */
     List<String> playSlowStore() {
         mDelays.scheduleSlowStore(mClock);
@@ -193,7 +230,7 @@
     private void start(FakeEntryVm vm) {
         vm.beginIncarnation();
         ClockReading start = clock(vm);
-        vm.mMember = CellMember.create(vm.mAddress, 0, SETTINGS, FakeGroup.LEASE_MS, start);
+        vm.mMember = CellMember.create(vm.mAddress, 0, SETTINGS, mGroup.leaseMs(), start);
         if (vm.mIncarnation == 1) {
             vm.mMember.firstStart();
         }
--- a/core/src/test/java/org/boragegap/core/cell/FakeGroup.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeGroup.java
@@ -1,6 +1,7 @@
 package org.boragegap.core.cell;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -9,10 +10,19 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 
-/** The store's group with one partition, according to the platform's protocol. */
+/**
+ * The store's group with one partition for the cell, according to the platform's protocol. Each
+ * member also holds partitions by which it is listed.
+ *
+ * <p>The protocol lets the group assign partitions anew at once, without a join of their owner, and
+ * list no row for a member that holds none for a moment; {@link #useAllFreedoms} makes it do so.
+ */
 final class FakeGroup {
     static final long LEASE_MS = 1_000;
 
+    /** Longest lease that a layout asks the group for. */
+    static final long LONG_LEASE_MS = 3_000;
+
     private final Map<String, Long> mMembers = new LinkedHashMap<>();
     private final Set<String> mCandidates = new TreeSet<>();
     private final SplittableRandom mRandom;
@@ -20,9 +30,29 @@
     private String mNextOwner = "";
     private long mGeneration = 1;
     private long mNextOwnerGeneration;
+    private final long mLeaseMs;
+    private boolean mUsesAllFreedoms;
+
+    /** Members that hold no partition, each until it has joined with a generation. */
+    private final Map<String, Long> mUnlistedBeforeGeneration = new HashMap<>();
 
-    FakeGroup(SplittableRandom random) {
+    /**
+     * Creates a group without members.
+     *
+     * @param leaseMs how long it keeps a silent member, in ms
+     */
+    FakeGroup(SplittableRandom random, long leaseMs) {
         mRandom = random;
+        mLeaseMs = leaseMs;
+    }
+
+    /** Does from now on whatever the protocol allows. */
+    void useAllFreedoms() {
+        mUsesAllFreedoms = true;
+    }
+
+    long leaseMs() {
+        return mLeaseMs;
     }
 
     /** Answer to a join. */
@@ -35,7 +65,7 @@
             release(member);
         }
         if (mMembers.put(member, nowMs) == null || changed) {
-            mGeneration++;
+            nextGeneration();
             if (mRandom.nextInt(3) == 0) {
                 rebalance();
             }
@@ -43,7 +73,7 @@
         if (mOwner.isEmpty() && wantsCell) {
             mOwner = mNextOwner.isEmpty() ? member : mNextOwner;
             mNextOwner = "";
-            mGeneration++;
+            nextGeneration();
         }
         boolean released =
                 member.equals(mOwner)
@@ -53,6 +83,9 @@
             mOwner = mNextOwner;
             mNextOwner = "";
         }
+        if (generation >= mUnlistedBeforeGeneration.getOrDefault(member, 0L)) {
+            mUnlistedBeforeGeneration.remove(member);
+        }
         boolean holds = member.equals(mOwner) && mNextOwner.isEmpty();
         return new Answer(mGeneration, holds, addresses());
     }
@@ -64,7 +97,9 @@
 
     private Set<String> addresses() {
         Set<String> addresses = new HashSet<>();
-        mMembers.keySet().forEach(member -> addresses.add(address(member)));
+        mMembers.keySet().stream()
+                .filter(member -> !mUnlistedBeforeGeneration.containsKey(member))
+                .forEach(member -> addresses.add(address(member)));
         return addresses;
     }
 
@@ -74,14 +109,24 @@
 
     void leave(String member) {
         mMembers.remove(member);
-        mGeneration++;
+        nextGeneration();
         release(member);
     }
 
+    /** Begins a generation, in which a member may hold no partition until it has joined with it. */
+    private void nextGeneration() {
+        mGeneration++;
+        if (mUsesAllFreedoms && !mMembers.isEmpty() && mRandom.nextBoolean()) {
+            List<String> members = new ArrayList<>(mMembers.keySet());
+            String unlisted = members.get(mRandom.nextInt(members.size()));
+            mUnlistedBeforeGeneration.put(unlisted, mGeneration);
+        }
+    }
+
     /**
      * Selects a random candidate as the next owner of the partition. From then on the current owner
      * no longer holds it; the next one gets it once the current one has confirmed the new
-     * generation or is gone.
+     * generation or is gone, or at once if the group takes that freedom.
      */
     void rebalance() {
         if (mMembers.isEmpty()) {
@@ -92,7 +137,12 @@
             return;
         }
         mNextOwner = candidates.get(mRandom.nextInt(candidates.size()));
-        mGeneration++;
+        nextGeneration();
+        if (mUsesAllFreedoms && mRandom.nextBoolean()) {
+            mOwner = mNextOwner;
+            mNextOwner = "";
+            return;
+        }
         mNextOwnerGeneration = mGeneration;
         if (mNextOwner.equals(mOwner)) {
             mNextOwner = "";
@@ -101,10 +151,11 @@
 
     private void expire(long nowMs) {
         for (String member : List.copyOf(mMembers.keySet())) {
-            if (nowMs - mMembers.get(member) > LEASE_MS) {
+            if (nowMs - mMembers.get(member) > mLeaseMs) {
                 mMembers.remove(member);
+                mUnlistedBeforeGeneration.remove(member);
                 mCandidates.remove(member);
-                mGeneration++;
+                nextGeneration();
                 release(member);
             }
         }
--- a/core/src/test/java/org/boragegap/core/cell/HistoryKind.java
+++ b/core/src/test/java/org/boragegap/core/cell/HistoryKind.java
@@ -8,6 +8,16 @@
 enum HistoryKind {
     USUAL(CellHistory::play),
     SLOW_STORE(CellHistory::playSlowStore),
+    REASSIGNMENTS(CellHistory::playReassignments),
+    REASSIGNMENTS_AND_RESTARTS(CellHistory::playReassignmentsAndRestarts),
+
+    /** With the lease that layouts with weak VMs ask the group for. */
+    REASSIGNMENTS_WITH_LONG_LEASE(CellHistory::playReassignmentsAndRestarts) {
+        @Override
+        CellHistory create(long seed, HistoryTrace trace) {
+            return new CellHistory(seed, trace, FakeGroup.LONG_LEASE_MS);
+        }
+    },
     ROLLING_RESTART(CellHistory::playRollingRestart),
     SLOW_VMS(CellHistory::playSlowVms),
     EVACUATIONS(CellHistory::playEvacuationsAndResizes),
@@ -39,8 +49,12 @@
 
     /** Plays a history and returns what was seen in it. */
     InvariantChecker play(long seed, HistoryTrace trace) {
-        CellHistory history = new CellHistory(seed, trace);
+        CellHistory history = create(seed, trace);
         mPlay.apply(history);
         return history.mInvariants;
     }
+
+    CellHistory create(long seed, HistoryTrace trace) {
+        return new CellHistory(seed, trace);
+    }
 }
--- a/core/src/test/java/org/boragegap/core/cell/LoanHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/LoanHistory.java
@@ -52,7 +52,7 @@
         mOrders =
                 new OrderTransport(mClock, mRandom, mDelays, mRates, mPlatform, mInvariants, trace);
         for (int cell = 0; cell < CELLS; cell++) {
-            mGroups.add(new FakeGroup(mRandom.split()));
+            mGroups.add(new FakeGroup(mRandom.split(), FakeGroup.LEASE_MS));
         }
         for (int i = 0; i < VMS; i++) {
             mVms.add(new FakeEntryVm("vm" + i));
--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/cell/ReassignedCellProperties.java
@@ -0,0 +1,44 @@
+package org.boragegap.core.cell;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.boragegap.core.HistoryTrace;
+
+/**
+ * The group assigns the cell anew at once, and lists no row for a member for a moment, while VMs
+ * restart and all other failures occur. A new controller must not take what it hasn't heard of for
+ * ended.
+ */
+final class ReassignedCellProperties {
+    /** Guards against two controllers that run one task at the same time. */
+    @Property(tries = 1_000, seed = "21")
+    void noTaskRunsUnderTwoControllers(@ForAll long seed) {
+        assertHolds(HistoryKind.REASSIGNMENTS_AND_RESTARTS, seed);
+    }
+
+    /** Guards against a wait for earlier leases that is shorter than the lease of the group. */
+    @Property(tries = 1_000, seed = "22")
+    void noTaskRunsUnderTwoControllersWithLongLease(@ForAll long seed) {
+        assertHolds(HistoryKind.REASSIGNMENTS_WITH_LONG_LEASE, seed);
+    }
+
+    /** Guards against a task that runs twice: seeds of histories in which one did. */
+    @Example
+    void guaranteesHoldForSeedsThatOnceFailed() {
+        for (long seed : new long[] {3_002_311, 3_000_075, 3_000_078, 3_002_876, 3_002_904}) {
+            assertHolds(HistoryKind.REASSIGNMENTS_AND_RESTARTS, seed);
+        }
+        for (long seed : new long[] {3_002_023, 3_001_792, 3_000_365, 3_000_368}) {
+            assertHolds(HistoryKind.REASSIGNMENTS_WITH_LONG_LEASE, seed);
+        }
+    }
+
+    private static void assertHolds(HistoryKind kind, long seed) {
+        assertWithMessage("seed %s", seed)
+                .that(kind.play(seed, HistoryTrace.NONE).violations())
+                .isEmpty();
+    }
+}
