A new term asks all targets before it starts tasks

Callers saw a task run twice at the same time, under two controllers. A new term took all leases of earlier controllers for expired when no VM on the group's list told of one. The list may miss a VM that holds no partition for a moment, and the new process of a killed controller answers at its address without knowing of its term, while the store has reassigned the cell at once.

What isn't heard of proves nothing any more. A term is settled when each target has reported to it, the announced ones and those on the platform's list (each then rejects orders of earlier terms), or when all earlier leases have expired. Answers of VMs can only delay it, and count whether the list names the VM or not. The extra question to targets that may restart is part of this now.

SettlementTest asserted the fault (a start beside a target that hadn't reported, 4, 8 and 260 ms into a term); its cases now assert that the term waits. In other tests the targets are listed before the term is settled.

--- a/core/src/main/java/org/boragegap/core/cell/CellController.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -244,8 +244,8 @@
             mRuns.startAnswered(answered);
         } else if (event instanceof CellEvent.StopAnswered answered) {
             mRuns.stopAnswered(answered);
-        } else if (event instanceof CellEvent.PredecessorsKnown known) {
-            mSettlement.predecessorsKnown(known.leasesExpired());
+        } else if (event instanceof CellEvent.PredecessorsKnown) {
+            mSettlement.predecessorsKnown();
         } else if (event instanceof CellEvent.Ticked) {
             mLeases.tick();
             mRuns.tick();
--- a/core/src/main/java/org/boragegap/core/cell/CellEvent.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellEvent.java
@@ -16,13 +16,11 @@
     record TermBegan(long fence, Optional<List<TargetInfo>> previousTargets) implements CellEvent {}
 
     /**
-     * All entry VMs in the group have reported when they last controlled the cell.
-     *
-     * @param leasesExpired true when the leases of all earlier controllers have expired; false when
-     *     the last one has only just given up the cell, and only the targets that it announced may
-     *     still be running tasks
+     * The entry VMs have reported when they last controlled the cell. Everything that earlier
+     * controllers may have started runs on targets that were announced or are on the platform's
+     * list.
      */
-    record PredecessorsKnown(boolean leasesExpired) implements CellEvent {}
+    record PredecessorsKnown() implements CellEvent {}
 
     /** This VM no longer controls the cell. */
     record TermEnded() implements CellEvent {}
--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -119,8 +119,8 @@
 
     /**
      * True when this VM may leave the group. After giving up the cell it has to stay until its
-     * leases have expired: the next controller assumes that tasks of a VM that is not in the group
-     * have ended, and would start those that still run a second time.
+     * leases have expired, so that the next controller learns of its term and can compare the lists
+     * of targets.
      */
     public boolean mayLeave(ClockReading clock) {
         return mPredecessors.ownLeasesExpired(clock.monotonicMs());
@@ -273,8 +273,7 @@
                         + mPredecessors.inputs(peers, mClock.monotonicMs());
         log(Decision.self("predecessors", inputs, knowledge.name()));
         if (knowledge.isSufficient()) {
-            boolean leasesExpired = knowledge == Predecessors.Knowledge.OVER;
-            toController(new CellEvent.PredecessorsKnown(leasesExpired));
+            toController(new CellEvent.PredecessorsKnown());
         }
     }
 
--- a/core/src/main/java/org/boragegap/core/cell/Predecessors.java
+++ b/core/src/main/java/org/boragegap/core/cell/Predecessors.java
@@ -10,11 +10,14 @@
 import java.util.TreeSet;
 
 /**
- * What a new controller knows about earlier controllers: whether their tasks may still be running.
+ * What the other entry VMs tell a new controller about earlier controllers: whether their tasks may
+ * run on targets that it doesn't know.
  *
- * <p>A controller that stopped sending is dropped from the group, and its leases expire with its
- * membership. So only the members of the group matter, and they are asked. After an outage of the
- * store this doesn't hold: a controller may have acted without the store until just now.
+ * <p>Their answers can only show that it doesn't know them all. That no VM tells of an earlier
+ * controller proves nothing about the tasks that run: a VM may be missing from the list, and a new
+ * process answers for an earlier one at its address. So the targets are asked in any case; see
+ * {@link Settlement}. After an outage of the store a controller may have acted without it until
+ * just now.
  */
 final class Predecessors {
     /**
@@ -43,12 +46,12 @@
          */
         TARGETS_KNOWN,
 
-        /** All leases of earlier controllers have expired. */
-        OVER;
+        /** No VM that has answered had a term whose leases may be valid. */
+        NO_RECENT_TERM;
 
         /** True when no further replies of entry VMs are needed. */
         boolean isSufficient() {
-            return this == TARGETS_KNOWN || this == OVER;
+            return this == TARGETS_KNOWN || this == NO_RECENT_TERM;
         }
     }
 
@@ -162,8 +165,8 @@
         if (!mAnswered.keySet().containsAll(asked)) {
             return Knowledge.AWAITS_ANSWERS;
         }
+        // A VM that the list misses for a moment has answered all the same.
         asked.addAll(mAnswered.keySet());
-        asked.retainAll(peers);
         if (!majoritySawNoOutage(asked, sawNoOutage)) {
             return Knowledge.STORE_WAS_AWAY;
         }
@@ -178,7 +181,7 @@
             targetsKnown &= peerExpired || known;
         }
         if (expired) {
-            return Knowledge.OVER;
+            return Knowledge.NO_RECENT_TERM;
         }
         return targetsKnown ? Knowledge.TARGETS_KNOWN : Knowledge.TARGETS_UNKNOWN;
     }
--- a/core/src/main/java/org/boragegap/core/cell/Settlement.java
+++ b/core/src/main/java/org/boragegap/core/cell/Settlement.java
@@ -6,15 +6,19 @@
  * Whether a term knows everything that earlier controllers started, so that it may start tasks.
  *
  * <p>A job that an earlier controller accepted may still run on a target that has not reported;
- * starting its tasks elsewhere would run them twice at the same time. So either the leases of
- * earlier controllers have expired, or each target of the last controller has reported.
- *
- * <p>Expired leases prove less for a target that may have restarted under the same id: an order of
- * an earlier term that is carried out late may have extended the lease of its new incarnation, or
- * may start a task there until that has seen this term's fencing token. Such targets are asked in
- * any case.
+ * starting its tasks elsewhere would run them twice at the same time. So either each target has
+ * reported to this term, and rejects orders of earlier ones from then on, or all leases of earlier
+ * controllers have expired. That no VM knows of an earlier controller doesn't replace either: the
+ * list of VMs may miss one, and a new process doesn't know what the earlier one at its address did.
  */
 final class Settlement {
+    /** What proves that nothing of an earlier controller runs unnoticed. */
+    private enum Evidence {
+        NONE,
+        TARGETS_REPORTED,
+        LEASES_EXPIRED
+    }
+
     /**
      * Added to the longest lease, as measured by a clock that is 2% slow, in ms. After that time in
      * a term, nothing that an earlier controller started can still run on a target that has not
@@ -23,20 +27,13 @@
      */
     private static final long SETTLE_MARGIN_MS = 100;
 
-    /**
-     * How long a term waits for the first reports of targets that may restart under the same id, in
-     * ms: as long as an order may take.
-     */
-    private static final long FIRST_REPORT_WAIT_MS = 250;
-
     /** Maximum number of targets that a log entry names. */
     private static final int MAX_LOGGED_TARGETS = 8;
 
     private final Term mTerm;
     private final CellSettings mSettings;
     private boolean mPredecessorsKnown;
-    private boolean mPredecessorLeasesExpired;
-    private boolean mSettled;
+    private Evidence mEvidence = Evidence.NONE;
 
     Settlement(Term term, CellSettings settings) {
         mTerm = term;
@@ -44,23 +41,34 @@
     }
 
     /** See {@link CellEvent.PredecessorsKnown}. */
-    void predecessorsKnown(boolean leasesExpired) {
+    void predecessorsKnown() {
         mPredecessorsKnown = true;
-        mPredecessorLeasesExpired = leasesExpired;
     }
 
     /** True when the term was settled at the last update. */
     boolean settled() {
-        return mSettled;
+        return mEvidence != Evidence.NONE;
     }
 
     /** Settles the term if enough is known now; returns true when it is settled. */
     boolean update() {
-        if (!mSettled && restartableTargetsAsked() && (leasesExpired() || predecessorsReported())) {
-            mSettled = true;
-            mTerm.log(Decision.self("settled", inputs(), "tasks may start"));
+        if (!settled()) {
+            mEvidence = evidence();
+            if (settled()) {
+                mTerm.log(Decision.self("settled", inputs(), "tasks may start"));
+            }
+        }
+        return settled();
+    }
+
+    private Evidence evidence() {
+        if (mTerm.targets().isEmpty()) {
+            return Evidence.NONE;
         }
-        return mSettled;
+        if (mPredecessorsKnown && allReported()) {
+            return Evidence.TARGETS_REPORTED;
+        }
+        return leasesExpired() ? Evidence.LEASES_EXPIRED : Evidence.NONE;
     }
 
     private long ageMs() {
@@ -71,28 +79,17 @@
         // Controllers never request a longer lease than this, even if a target would grant one.
         long leaseMs = Math.min(mSettings.maxLeaseMs(), LeaseManager.LEASE_MS);
         long settledAfterMs = (long) (leaseMs / Target.MIN_CLOCK_RATE) + SETTLE_MARGIN_MS;
-        return ageMs() > settledAfterMs && !mTerm.targets().isEmpty();
-    }
-
-    private boolean predecessorsReported() {
-        return mPredecessorsKnown && (mPredecessorLeasesExpired || allReported());
-    }
-
-    /** True when there are targets and each of them has reported in this term. */
-    private boolean allReported() {
-        return !mTerm.targets().isEmpty()
-                && mTerm.targets().values().stream().allMatch(Target::reported);
+        return ageMs() > settledAfterMs;
     }
 
     /**
-     * True when each target that may restart under the same id has reported in this term, could not
-     * be called, or has had the time for an answer.
+     * True when each target has reported in this term: those that the last known controller has
+     * announced and those on the platform's list. The announced ones alone may lack targets of a
+     * controller that this VM has not heard.
      */
-    private boolean restartableTargetsAsked() {
-        return ageMs() > FIRST_REPORT_WAIT_MS
-                || mTerm.targets().values().stream()
-                        .filter(Target::mayRestart)
-                        .allMatch(target -> target.reported() || target.calls().lastCallNotSent());
+    private boolean allReported() {
+        return mTerm.hasTargetList()
+                && mTerm.targets().values().stream().allMatch(Target::reported);
     }
 
     private String inputs() {
@@ -111,8 +108,8 @@
                 + mTerm.targets().size()
                 + " reported="
                 + reported
-                + " leases_expired="
-                + (mPredecessorLeasesExpired || leasesExpired())
+                + " evidence="
+                + mEvidence
                 + " unreported="
                 + unreported;
     }
--- a/core/src/main/java/org/boragegap/core/cell/Term.java
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -165,6 +165,11 @@
         mTargetsListed = true;
     }
 
+    /** True when the platform's list of targets was read in this term. */
+    boolean hasTargetList() {
+        return mTargetsListed;
+    }
+
     /** True when it is known which targets exist, and which of them may be given work. */
     boolean areTargetsKnown() {
         return mTargetsListed && mEvacuations.known();
--- a/core/src/test/java/org/boragegap/core/cell/CellControllerTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellControllerTest.java
@@ -106,7 +106,8 @@
         offer(10, "00000000000000f1", 1_400, 2);
         offer(11, "00000000000000f2", 0, 1);
         targetReports(20);
-        on(21, new CellEvent.PredecessorsKnown(true));
+        on(20, new CellEvent.TargetsListed(List.of(TARGET)));
+        on(21, new CellEvent.PredecessorsKnown());
         assertThat(started()).containsExactly("00000000000000f2");
     }
 
@@ -128,7 +129,7 @@
         assertThat(verdicts()).hasSize(1);
         assertThat(verdicts().get(0)).isInstanceOf(Verdict.Declined.class);
         targetReports(590);
-        on(600, new CellEvent.PredecessorsKnown(true));
+        on(600, new CellEvent.PredecessorsKnown());
         assertThat(started()).isEmpty();
     }
 
@@ -149,7 +150,8 @@
         on(0, new CellEvent.TermBegan(7, Optional.of(List.of(TARGET))));
         targetReports(20);
         assertThat(mController.hasAffectedNoTarget()).isTrue();
-        on(21, new CellEvent.PredecessorsKnown(true));
+        on(20, new CellEvent.TargetsListed(List.of(TARGET)));
+        on(21, new CellEvent.PredecessorsKnown());
         offer(22, "00000000000000f3", 0, 1);
         assertThat(mController.hasAffectedNoTarget()).isFalse();
     }
--- a/core/src/test/java/org/boragegap/core/cell/CellLoansTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellLoansTest.java
@@ -332,7 +332,8 @@
             mLender.on(100, new CellEvent.TermEnded());
             mLender.on(
                     110, new CellEvent.TermBegan(NEXT_FENCE, Optional.of(List.of(FIRST, SECOND))));
-            mLender.on(111, new CellEvent.PredecessorsKnown(true));
+            mLender.listed(111, FIRST, SECOND);
+            mLender.on(111, new CellEvent.PredecessorsKnown());
             mLender.report(112, other(lent), List.of(), List.of());
             mLender.report(113, lent, List.of(active(start)), List.of());
             int before = mLender.starts().size();
--- a/core/src/test/java/org/boragegap/core/cell/EarlierTermTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/EarlierTermTest.java
@@ -81,7 +81,7 @@
             TargetReport report = new TargetReport(65, List.of(), List.of());
             mCell.on(65, new CellEvent.LeaseExtended("t1", earlierFirst, report));
             mCell.on(65, new CellEvent.LeaseExtended("t2", earlierSecond, report));
-            mCell.on(66, new CellEvent.PredecessorsKnown(false));
+            mCell.on(66, new CellEvent.PredecessorsKnown());
             mCell.listed(67, FIRST, SECOND);
             mCell.offer(70, "00000000000000c1", 1);
             assertThat(mCell.starts()).isEmpty();
--- a/core/src/test/java/org/boragegap/core/cell/HistorySearch.java
+++ b/core/src/test/java/org/boragegap/core/cell/HistorySearch.java
@@ -10,8 +10,9 @@
 
 /**
  * Plays histories of one kind with many seeds, and prints those that violate a guarantee and how
- * many answers of each kind callers got. Started by hand with the kind, the first seed and the
- * number of seeds; for a single seed, it prints the trace as well.
+ * many answers of each kind callers got, and how long new terms waited until they started tasks.
+ * Started by hand with the kind, the first seed and the number of seeds; for a single seed, it
+ * prints the trace as well.
  */
 final class HistorySearch {
     private HistorySearch() {}
@@ -20,7 +21,8 @@
         HistoryKind kind = HistoryKind.valueOf(args[0]);
         long first = Long.parseLong(args[1]);
         long count = Long.parseLong(args[2]);
-        HistoryTrace trace = count == 1 ? HistorySearch::print : HistoryTrace.NONE;
+        SettlementFigures settlements = new SettlementFigures();
+        HistoryTrace trace = count == 1 ? HistorySearch::print : settlements;
         Map<String, Integer> verdicts = new ConcurrentSkipListMap<>();
         AtomicInteger violated = new AtomicInteger();
         LongStream.range(first, first + count)
@@ -39,6 +41,7 @@
         System.out.printf(
                 "%s: %d of %d from seed %d violate a guarantee; answers: %s%n",
                 kind, violated.get(), count, first, verdicts);
+        System.out.println(settlements.text());
     }
 
     private static void print(long nowMs, String process, Object what) {
--- a/core/src/test/java/org/boragegap/core/cell/IdleTargetsTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/IdleTargetsTest.java
@@ -91,7 +91,8 @@
             on(0, new CellEvent.DomainsEvacuated(Set.of()));
             on(0, new CellEvent.TermBegan(7, Optional.of(List.of(TARGET))));
             answer(firstAnswerMs, lastCall());
-            on(firstAnswerMs + 1, new CellEvent.PredecessorsKnown(true));
+            on(firstAnswerMs, new CellEvent.TargetsListed(List.of(TARGET)));
+            on(firstAnswerMs + 1, new CellEvent.PredecessorsKnown());
         }
 
         private void offer(long ms, String id) {
--- a/core/src/test/java/org/boragegap/core/cell/KnownEndsTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/KnownEndsTest.java
@@ -62,7 +62,7 @@
         @Test
         void anEndIsStillKnownWhenTheJobIsOfferedAgain() {
             inherit(done(1, TASK, 1));
-            mCell.on(8, new CellEvent.PredecessorsKnown(true));
+            mCell.on(8, new CellEvent.PredecessorsKnown());
             mCell.evacuate(10, "a");
             mCell.offer(20, JOB, 2);
             assertThat(mCell.starts()).isEmpty();
--- a/core/src/test/java/org/boragegap/core/cell/LoadSimulation.java
+++ b/core/src/test/java/org/boragegap/core/cell/LoadSimulation.java
@@ -221,7 +221,7 @@
         deliver(new CellEvent.DomainsEvacuated(Set.of()));
         deliver(new CellEvent.TermBegan(1, Optional.empty()));
         deliver(new CellEvent.TargetsListed(infos));
-        deliver(new CellEvent.PredecessorsKnown(true));
+        deliver(new CellEvent.PredecessorsKnown());
         tick();
     }
 
--- a/core/src/test/java/org/boragegap/core/cell/PredecessorsTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/PredecessorsTest.java
@@ -39,7 +39,7 @@
         void whenNobodyControlledTheCellLately() {
             mPredecessors.termBegan(0, BEGAN_MS);
             assertThat(assess(answer(true, 0, 0), answer(true, 5_000, 1_101)))
-                    .isEqualTo(Knowledge.OVER);
+                    .isEqualTo(Knowledge.NO_RECENT_TERM);
         }
 
         /** The controller has just stopped as planned; its targets are known and are asked. */
@@ -65,7 +65,7 @@
             mPredecessors.termBegan(0, BEGAN_MS);
             assess(answer(true, 0, 0), answer(true, 0, 0));
             assertThat(mPredecessors.assess(WITH_NEWCOMERS, true, 10_000))
-                    .isEqualTo(Knowledge.OVER);
+                    .isEqualTo(Knowledge.NO_RECENT_TERM);
         }
 
         @Test
@@ -80,6 +80,18 @@
 
     @Nested
     final class HasToWait {
+        /** Guards against the answer of a VM that counts only while the list names the VM. */
+        @Test
+        void forALaterTermOfAnUnlistedVm() {
+            mPredecessors.termBegan(LAST_TERM, BEGAN_MS);
+            mPredecessors.membersListed(PEERS, LISTED_MS);
+            mPredecessors.answered("vm2", answer(true, 0, 0));
+            mPredecessors.answered("vm3", answer(true, 0, 0));
+            mPredecessors.answered("vm4", answer(true, 8_000, 54));
+            assertThat(mPredecessors.assess(PEERS, true, 10_000))
+                    .isEqualTo(Knowledge.TARGETS_UNKNOWN);
+        }
+
         @Test
         void untilAllHaveAnswered() {
             mPredecessors.termBegan(LAST_TERM, BEGAN_MS);
--- a/core/src/test/java/org/boragegap/core/cell/ReportedAbsenceTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/ReportedAbsenceTest.java
@@ -95,7 +95,7 @@
             mCell.on(0, new CellEvent.TermBegan(9, Optional.of(List.of(FIRST))));
             TargetReport.ActiveRun row = new TargetReport.ActiveRun(TASK, 1, 50);
             mCell.report(5, FIRST.id(), List.of(row), List.of());
-            mCell.on(6, new CellEvent.PredecessorsKnown(true));
+            mCell.on(6, new CellEvent.PredecessorsKnown());
             mCell.listed(6, FIRST);
             mCell.report(10, FIRST.id(), List.of(), endsOfOthers(LISTED_AT_A_TIME));
             mCell.offer(20, JOB, 1);
--- a/core/src/test/java/org/boragegap/core/cell/RestartedTargetTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/RestartedTargetTest.java
@@ -353,7 +353,7 @@
         void runOfTheNewIncarnationIsAdopted() {
             mCell.report(4, "t2", List.of(), List.of());
             report(5, 2, new TargetReport.ActiveRun(TASK, 3, 50));
-            mCell.on(6, new CellEvent.PredecessorsKnown(true));
+            mCell.on(6, new CellEvent.PredecessorsKnown());
             mCell.listed(7, FIRST.withIncarnation(2), OTHER);
             mCell.offer(10, JOB, 1);
             mCell.ticks(20, 60);
@@ -366,7 +366,7 @@
             report(5, 1);
             mCell.report(6, "t2", List.of(), List.of());
             report(7, 2);
-            mCell.on(8, new CellEvent.PredecessorsKnown(false));
+            mCell.on(8, new CellEvent.PredecessorsKnown());
             mCell.offer(10, JOB, 1);
             assertThat(mCell.starts()).isEmpty();
             report(12, 2, new TargetReport.ActiveRun(TASK, 3, 50));
--- a/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
+++ b/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
@@ -64,13 +64,17 @@
         on(ms, new CellEvent.DomainsEvacuated(Set.of(domains)));
     }
 
-    /** Begins a term. The given targets of the previous term report that nothing runs there. */
+    /**
+     * Begins a term. The given targets of the previous term are listed, and report that nothing
+     * runs there.
+     */
     void begin(long ms, long fence, TargetInfo... targets) {
         on(ms, new CellEvent.TermBegan(fence, Optional.of(List.of(targets))));
         for (TargetInfo target : targets) {
             report(ms, target.id(), List.of(), List.of());
         }
-        on(ms, new CellEvent.PredecessorsKnown(true));
+        listed(ms, targets);
+        on(ms, new CellEvent.PredecessorsKnown());
     }
 
     void listed(long ms, TargetInfo... targets) {
--- a/core/src/test/java/org/boragegap/core/cell/SettlementTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/SettlementTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-/** When a term may start tasks although the leases of all earlier terms have expired. */
+/** When a term may start tasks beside those that earlier terms have started. */
 final class SettlementTest {
     private static final String JOB = "00000000000000d1";
     private static final TargetInfo FREE = ScriptedCell.target("t1", "x:1", "a", 1_000);
@@ -16,58 +16,85 @@
 
     private final ScriptedCell mCell = new ScriptedCell();
 
-    /** Begins a term after the leases of all earlier ones; only the first target has reported. */
+    /**
+     * Begins a term for which no VM knows of an earlier controller; only the first target has
+     * reported.
+     */
     private void begin(TargetInfo free, TargetInfo busy) {
         mCell.evacuate(0);
         mCell.on(0, new CellEvent.TermBegan(7, Optional.of(List.of(free, busy))));
-        mCell.on(1, new CellEvent.PredecessorsKnown(true));
+        mCell.on(1, new CellEvent.PredecessorsKnown());
         mCell.listed(2, free, busy);
         mCell.report(3, free.id(), List.of(), List.of());
         mCell.offer(4, JOB, 1);
     }
 
+    private void reportRun(long ms, String target) {
+        TargetReport.ActiveRun run = new TargetReport.ActiveRun(TASK, 1, 50);
+        mCell.report(ms, target, List.of(run), List.of());
+    }
+
     @Nested
-    class TargetThatMayRestart {
-        /**
-         * Guards against a task that is started beside its earlier run: a delayed lease call has
-         * extended the lease of a restarted target beyond the term that sent the call.
-         */
+    class TargetThatHasNotReported {
+        /** Guards against a task that runs twice, under an earlier controller and this one. */
         @Test
         void isAskedBeforeATaskStarts() {
-            begin(FREE.withIncarnation(1), BUSY.withIncarnation(2));
+            begin(FREE, BUSY);
             assertThat(mCell.starts()).isEmpty();
-            TargetReport.ActiveRun run = new TargetReport.ActiveRun(TASK, 1, 50);
-            mCell.report(8, "t2", List.of(run), List.of());
+            reportRun(8, "t2");
             mCell.ticks(10, 50);
             assertThat(mCell.starts()).isEmpty();
         }
 
-        /** Guards against callers that wait for a target that doesn't answer. */
+        /** Guards against callers that wait for a target that doesn't answer at all. */
         @Test
-        void isWaitedForNoLongerThanAnOrderMayTake() {
-            begin(FREE.withIncarnation(1), BUSY.withIncarnation(2));
-            mCell.ticks(10, 250);
+        void isWaitedForUntilEarlierLeasesHaveExpired() {
+            begin(FREE, BUSY);
+            mCell.ticks(10, 1_120);
             assertThat(mCell.starts()).isEmpty();
-            mCell.ticks(260, 260);
+            mCell.ticks(1_130, 1_130);
             assertThat(mCell.startedOn()).containsExactly("t1");
         }
 
-        /** Guards against callers that wait for a target whose process has ended. */
+        /** Guards against a lost connection that is taken for the end of what runs there. */
         @Test
-        void isNotWaitedForWhenItAcceptsNoConnection() {
-            begin(FREE.withIncarnation(1), BUSY.withIncarnation(2));
+        void isWaitedForWhenNoConnectionIsEstablished() {
+            begin(FREE, BUSY);
             mCell.refused(8, "t2");
-            assertThat(mCell.startedOn()).containsExactly("t1");
+            mCell.ticks(10, 1_120);
+            assertThat(mCell.starts()).isEmpty();
+        }
+
+        /**
+         * Guards against a task that is started beside its earlier run: a delayed lease call has
+         * extended the lease of a restarted target beyond the term that sent the call.
+         */
+        @Test
+        void isAskedIfItMayHaveRestarted() {
+            begin(FREE.withIncarnation(1), BUSY.withIncarnation(2));
+            assertThat(mCell.starts()).isEmpty();
+            reportRun(8, "t2");
+            mCell.ticks(10, 50);
+            assertThat(mCell.starts()).isEmpty();
         }
     }
 
     @Nested
-    class TargetThatGetsAnotherId {
-        /** Guards against callers that wait although nothing can run any more. */
+    class ListOfTargets {
+        /** Guards against targets that only a controller used which this VM has not heard. */
         @Test
-        void isNotWaitedFor() {
-            begin(FREE, BUSY);
-            assertThat(mCell.startedOn()).containsExactly("t1");
+        void isReadBeforeATaskStarts() {
+            mCell.evacuate(0);
+            mCell.on(0, new CellEvent.TermBegan(7, Optional.of(List.of(FREE))));
+            mCell.on(1, new CellEvent.PredecessorsKnown());
+            mCell.report(3, "t1", List.of(), List.of());
+            mCell.offer(4, JOB, 1);
+            mCell.ticks(10, 50);
+            assertThat(mCell.starts()).isEmpty();
+            mCell.listed(60, FREE, BUSY);
+            reportRun(65, "t2");
+            mCell.ticks(70, 100);
+            assertThat(mCell.starts()).isEmpty();
         }
     }
 }
