Log all lines of a drain: no shutdown hook of the logging library

What operators saw: after SIGTERM a process logged `draining`, or not even that, and nothing after it, although it drained as planned and ended with exit code 0. What a stopping controller did couldn't be read.

Cause: Log4j adds a shutdown hook of its own. Shutdown hooks run in parallel, so it stopped the log while the project's hook was still draining. The flag of the configuration (isShutdownHookEnabled) doesn't help: when a configuration is passed to Configurator.initialize, the context reads the flag of its default configuration first.

Change: `serve` sets log4j.shutdownHookEnabled=false before logging starts and shuts logging down itself, also when its start fails. Other commands keep the library's hook.

--- a/app/src/main/java/org/boragegap/app/LogSetup.java
+++ b/app/src/main/java/org/boragegap/app/LogSetup.java
@@ -22,6 +22,7 @@
     /** How long buffered lines are written at the end of the process, in ms. */
     private static final long SHUTDOWN_TIMEOUT_MS = 500;
 
+    private static final String SHUTDOWN_HOOK_PROPERTY = "log4j.shutdownHookEnabled";
     private static final String CONSOLE = "console";
     private static final String BOUNDED = "bounded";
     private static final String HTTP_LIBRARY = "org.glassfish.grizzly";
@@ -39,8 +40,14 @@
         Configurator.initialize(new LogSetup(ConsoleAppender.Target.SYSTEM_ERR));
     }
 
-    /** Sends the log lines of an entry process to standard output. */
+    /**
+     * Sends the log lines of an entry process to standard output. The caller has to shut logging
+     * down: the library's own shutdown hook is disabled, because shutdown hooks run in parallel and
+     * the lines of the drain would be lost.
+     */
     static LogSetup forEntryProcess() {
+        // The flag of a configuration has no effect here: the hook is added before it is read.
+        System.setProperty(SHUTDOWN_HOOK_PROPERTY, "false");
         LogSetup setup = new LogSetup(ConsoleAppender.Target.SYSTEM_OUT);
         Configurator.initialize(setup);
         return setup;
--- a/app/src/main/java/org/boragegap/app/ServeCommand.java
+++ b/app/src/main/java/org/boragegap/app/ServeCommand.java
@@ -76,9 +76,18 @@
                         "failure_domain", settings.text(Setting.FAILURE_DOMAIN),
                         "incarnation", Long.toString(incarnation)));
         Configurator.setRootLevel(Level.toLevel(settings.text(Setting.LOG_LEVEL)));
-        if (!settings.text(Setting.STORE_ADDRESS).isEmpty()) {
-            return serveCell(line.getOptionValue("c"), settings, incarnation);
+        try {
+            if (!settings.text(Setting.STORE_ADDRESS).isEmpty()) {
+                return serveCell(line.getOptionValue("c"), settings, incarnation);
+            }
+            return serve(settings, incarnation);
+        } finally {
+            // Reached when the start fails; a process that has started is halted by its drain.
+            LogManager.shutdown();
         }
+    }
+
+    private static ExitCode serve(Settings settings, long incarnation) throws Exception {
         EntryService service = EntryService.create(settings, incarnation);
         service.start();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drainAndHalt(service), "drain"));
