Decision lines of a cell's member name the cell

What operators saw: with several cells, `control`, `settled` and other lines of two VMs could be those of two controllers of one cell, or of two cells.

Change: CellMemberDriver knows the number of its cell, and DecisionLog writes it as the field `cell`. Lines of JobApi (`answer`, `job`) stay without it: the entry VM that takes a caller doesn't decide for a cell.

Test: ProcessLogTest (DrainLogTest until now) reads the first `control` line of a real process.

--- a/app/src/test/java/org/boragegap/app/DrainLogTest.java
+++ b/app/src/test/java/org/boragegap/app/ProcessLogTest.java
@@ -3,12 +3,14 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Callable;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -24,8 +26,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Stops entry processes with SIGTERM and reads what they have logged. */
-final class DrainLogTest {
+/** Reads what entry processes log until they have drained after SIGTERM. */
+final class ProcessLogTest {
     private static final String HOST = "127.0.0.1";
     private static final long AWAIT_TIMEOUT_MS = 30_000;
     private static final long POLL_INTERVAL_MS = 20;
@@ -56,24 +58,29 @@
     }
 
     private static List<String> texts(List<String> lines) throws IOException {
-        List<String> texts = new ArrayList<>();
+        return messages(lines).stream().map(message -> message.path("text").asText()).toList();
+    }
+
+    /** The messages of all complete lines; the last line may be only half written. */
+    private static List<JsonNode> messages(List<String> lines) throws IOException {
+        List<JsonNode> messages = new ArrayList<>();
         for (String line : lines) {
-            if (line.startsWith("{")) {
-                texts.add(sMapper.readTree(line).at("/message/text").asText());
+            if (line.startsWith("{") && line.endsWith("}")) {
+                messages.add(sMapper.readTree(line).path("message"));
             }
         }
-        return texts;
+        return messages;
     }
 
-    private void awaitReady(String address) throws Exception {
+    private void await(String description, Callable<Boolean> condition) throws Exception {
         long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(AWAIT_TIMEOUT_MS);
         while (System.nanoTime() < deadlineNs) {
-            if (isReady(address)) {
+            if (condition.call()) {
                 return;
             }
             TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MS);
         }
-        throw new AssertionError("the entry process did not become ready: " + loggedTexts());
+        throw new AssertionError("timed out: " + description + ", log: " + loggedTexts());
     }
 
     private static boolean isReady(String address) throws Exception {
@@ -113,7 +120,7 @@
                             "t0", HOST, LoopbackPorts.next(), SampleCalls.SERVICE, mStore, mTimer);
             mTarget.start();
             mProcess = launch(settings(HOST + ":" + storePort));
-            awaitReady(mReadyAddress);
+            await("ready", () -> isReady(mReadyAddress));
         }
 
         @AfterEach
@@ -143,6 +150,24 @@
                     "store = " + store);
         }
 
+        private List<JsonNode> controlLines() throws IOException {
+            List<JsonNode> lines = new ArrayList<>();
+            for (JsonNode message : messages(Files.readAllLines(mDirectory.resolve("out.log")))) {
+                if (message.path("what").asText().equals("control")) {
+                    lines.add(message);
+                }
+            }
+            return lines;
+        }
+
+        /** Guards against controllers of one cell that look like controllers of two cells. */
+        @Test
+        void decisionOfControllerNamesItsCell() throws Exception {
+            await("a controller", () -> !controlLines().isEmpty());
+
+            assertThat(controlLines().get(0).path("cell").asText()).isEqualTo("0");
+        }
+
         /** Guards against a log that ends when the signal comes, before the VM has drained. */
         @Test
         void allLinesOfDrainAreWrittenInOrder() throws Exception {
--- a/entry/src/main/java/org/boragegap/entry/DecisionLog.java
+++ b/entry/src/main/java/org/boragegap/entry/DecisionLog.java
@@ -13,9 +13,19 @@
 
     /** Writes one line. */
     public static void write(Decision decision) {
-        if (!sLog.isInfoEnabled()) {
-            return;
+        if (sLog.isInfoEnabled()) {
+            sLog.info(message(decision));
         }
+    }
+
+    /** Writes one line about a decision in the given cell. */
+    public static void write(int cell, Decision decision) {
+        if (sLog.isInfoEnabled()) {
+            sLog.info(message(decision).with("cell", cell));
+        }
+    }
+
+    private static StringMapMessage message(Decision decision) {
         StringMapMessage message = new StringMapMessage();
         message.put("what", decision.what());
         put(message, "job", decision.job());
@@ -23,7 +33,7 @@
         put(message, "target", decision.target());
         message.put("inputs", decision.inputs());
         message.put("outcome", decision.outcome());
-        sLog.info(message);
+        return message;
     }
 
     private static void put(StringMapMessage message, String field, String value) {
--- a/entry/src/main/java/org/boragegap/entry/cell/CellMemberDriver.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellMemberDriver.java
@@ -14,13 +14,15 @@
  * Used by the control thread only, except where noted.
  */
 final class CellMemberDriver {
+    private final int mCell;
     private final CellMember mMember;
     private final CellOutput mOutput;
     private long mLastTickMs;
     private volatile boolean mWantsCell;
     private volatile boolean mCanServeCallers = true;
 
-    CellMemberDriver(CellMember member, CellOutput output) {
+    CellMemberDriver(int cell, CellMember member, CellOutput output) {
+        mCell = cell;
         mMember = member;
         mOutput = output;
     }
@@ -94,7 +96,7 @@
         } else if (action instanceof MemberAction.Rejoin) {
             mOutput.rejoin();
         } else if (action instanceof MemberAction.Log log) {
-            DecisionLog.write(log.decision());
+            DecisionLog.write(mCell, log.decision());
         }
     }
 
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -264,7 +264,7 @@
         if (mSettings.text(Setting.LOANS).equals("on")) {
             member.lendAndBorrow(mLenders);
         }
-        return new CellMemberDriver(member, new Output(cell));
+        return new CellMemberDriver(cell, member, new Output(cell));
     }
 
     private void joined(long generation, Set<Integer> assigned, ClockReading sent) {
