Log the lease of the layout and of the group

What operators saw: `layout: 5 cells`. A layout with weak VMs asks for a group lease of 3 s, and nothing in the log told whether it was in force, which the hypothesis of a term's wait being shorter than the lease needs.

Change: the layout's lines, found and proposed, state its minimum lease; 0 means that the layout asks for none. `group lease` states what this VM uses: the longer one of the setting and the layout's.

--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -230,6 +230,7 @@
 
     /** Creates this VM's member of each cell of the layout, and joins the group. */
     private void layoutKnown(CellLayout layout) {
+        sLog.info("group lease: {} ms", groupLeaseMs(layout));
         ClockReading began = mBegan;
         int cpuMillis = mSettings.cpuMillis();
         mThread.post(
@@ -254,9 +255,7 @@
                         mSettings.number(Setting.TARGET_LEASE_MS),
                         mSettings.decimal(Setting.FAR_FACTOR),
                         mSettings.text(Setting.SPEED_PLACEMENT).equals("on"));
-        long configuredMs = mSettings.number(Setting.GROUP_LEASE_MS);
-        long leaseMs = Math.max(configuredMs, layout.minLeaseMs());
-        CellMember member = CellMember.create(mSelf, cell, settings, leaseMs, began);
+        CellMember member = CellMember.create(mSelf, cell, settings, groupLeaseMs(layout), began);
         member.deployment(layout.cells(), cpuMillis);
         if (mSettings.flag(Setting.FIRST_START)) {
             member.firstStart();
@@ -267,6 +266,10 @@
         return new CellMemberDriver(cell, member, new Output(cell));
     }
 
+    private long groupLeaseMs(CellLayout layout) {
+        return Math.max(mSettings.number(Setting.GROUP_LEASE_MS), layout.minLeaseMs());
+    }
+
     private void joined(long generation, Set<Integer> assigned, ClockReading sent) {
         mThread.post(
                 () -> {
--- a/entry/src/main/java/org/boragegap/entry/cell/LayoutResolver.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/LayoutResolver.java
@@ -108,7 +108,10 @@
             scheduleRead(RECOUNT_PAUSE_MS);
             return;
         }
-        sLog.info("layout: {} cells", layout.get().cells());
+        sLog.info(
+                "layout: {} cells, minimum lease {} ms",
+                layout.get().cells(),
+                layout.get().minLeaseMs());
         mListener.accept(layout.get());
     }
 
@@ -145,8 +148,9 @@
         List<Integer> cpuMillis = mCpuMillis.get();
         CellLayout layout = CellLayout.forDeployment(mTargetCount, cpuMillis);
         sLog.info(
-                "layout: proposes {} cells for {} targets, {} VMs known",
+                "layout: proposes {} cells, minimum lease {} ms, for {} targets, {} VMs known",
                 layout.cells(),
+                layout.minLeaseMs(),
                 mTargetCount,
                 cpuMillis.size());
         mStore.appendFirst(
