Count terms, and what settled them

What operators saw: no metric counted changes of the controller, and none told on which evidence tasks were allowed to start again.

Change: boragegap_terms_total counts terms that begin on this VM, boragegap_terms_settled_total{evidence} those that were settled, from the decisions `control` and `settled`. The evidence is the input of that name; a `settled` line without it counts as "unknown", which is all of them until the line states it.

--- a/app/src/test/java/org/boragegap/app/CellEndToEndTest.java
+++ b/app/src/test/java/org/boragegap/app/CellEndToEndTest.java
@@ -228,6 +228,16 @@
             assertThat(postAsync(0, "/jobs/00000000000000ad", body).join().status()).isEqualTo(400);
         }
 
+        /** Guards against counters that miss the decisions by which a term begins and settles. */
+        @Test
+        void termsOfTheControllerAreCounted() throws Exception {
+            await(() -> controllerNode() >= 0);
+            String metrics = get(mMetricsPorts.get(controllerNode()), "/metrics").body();
+            assertThat(metrics).containsMatch("(?m)^boragegap_terms_total [1-9]");
+            assertThat(metrics)
+                    .containsMatch("(?m)^boragegap_terms_settled_total\\{evidence=\".+\"} [1-9]");
+        }
+
         @Test
         void newConfigurationTakesEffectAtAllEntryVms() throws Exception {
             putConfiguration(2, "/jobs/", "/new/");
--- a/core/src/main/java/org/boragegap/core/cell/Decision.java
+++ b/core/src/main/java/org/boragegap/core/cell/Decision.java
@@ -1,5 +1,8 @@
 package org.boragegap.core.cell;
 
+import java.util.Arrays;
+import java.util.Optional;
+
 /**
  * A log entry for a decision that affects a request or the state of the process.
  *
@@ -33,4 +36,13 @@
     public static Decision self(String what, String inputs, String outcome) {
         return new Decision(what, "", "", "", inputs, outcome);
     }
+
+    /** The value of an input; empty if the decision has no input of that name. */
+    public Optional<String> input(String name) {
+        String prefix = name + "=";
+        return Arrays.stream(inputs.split(" "))
+                .filter(pair -> pair.startsWith(prefix))
+                .map(pair -> pair.substring(prefix.length()))
+                .findFirst();
+    }
 }
--- a/entry/src/main/java/org/boragegap/entry/cell/CellMemberDriver.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellMemberDriver.java
@@ -17,14 +17,16 @@
     private final int mCell;
     private final CellMember mMember;
     private final CellOutput mOutput;
+    private final CellMetrics mMetrics;
     private long mLastTickMs;
     private volatile boolean mWantsCell;
     private volatile boolean mCanServeCallers = true;
 
-    CellMemberDriver(int cell, CellMember member, CellOutput output) {
+    CellMemberDriver(int cell, CellMember member, CellOutput output, CellMetrics metrics) {
         mCell = cell;
         mMember = member;
         mOutput = output;
+        mMetrics = metrics;
     }
 
     CellState state() {
@@ -97,6 +99,7 @@
             mOutput.rejoin();
         } else if (action instanceof MemberAction.Log log) {
             DecisionLog.write(mCell, log.decision());
+            mMetrics.decided(log.decision());
         }
     }
 
--- a/entry/src/main/java/org/boragegap/entry/cell/CellMetrics.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellMetrics.java
@@ -11,15 +11,20 @@
 import java.util.Map;
 import java.util.function.ToDoubleFunction;
 import org.boragegap.core.cell.CellState;
+import org.boragegap.core.cell.Decision;
 import org.boragegap.core.cell.Verdict;
 
 /** Metrics of an entry process on the users' platform. */
 final class CellMetrics {
+    /** Outcome of the decision {@code control} by which a term begins. */
+    private static final String TERM_BEGAN = "this VM controls the cell";
+
     private final PrometheusMeterRegistry mRegistry =
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Map<Class<?>, Timer> mAnswerTimers = new HashMap<>();
     private final Counter mRefused = Counter.builder("boragegap.refused").register(mRegistry);
     private final Counter mNotFound = Counter.builder("boragegap.not.found").register(mRegistry);
+    private final Counter mTerms = Counter.builder("boragegap.terms").register(mRegistry);
     private final Counter mCallersLeft =
             Counter.builder("boragegap.callers.left").register(mRegistry);
     private volatile CellState mState = CellState.NONE;
@@ -71,6 +76,20 @@
         mCallersLeft.increment();
     }
 
+    /** Counts the terms of this VM, and by which evidence they were settled. */
+    void decided(Decision decision) {
+        if (decision.what().equals("control") && decision.outcome().equals(TERM_BEGAN)) {
+            mTerms.increment();
+        } else if (decision.what().equals("settled")) {
+            mRegistry
+                    .counter(
+                            "boragegap.terms.settled",
+                            "evidence",
+                            decision.input("evidence").orElse("unknown"))
+                    .increment();
+        }
+    }
+
     /** Reports how many values of the platform were invalid and have been replaced. */
     void settingsReplaced(int count) {
         Gauge.builder("boragegap.settings.replaced", () -> count).register(mRegistry);
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -263,7 +263,7 @@
         if (mSettings.text(Setting.LOANS).equals("on")) {
             member.lendAndBorrow(mLenders);
         }
-        return new CellMemberDriver(cell, member, new Output(cell));
+        return new CellMemberDriver(cell, member, new Output(cell), mMetrics);
     }
 
     private long groupLeaseMs(CellLayout layout) {
