Lines of starts, adoptions and stops state the term; a doubled run is logged

From a task's id neither the fencing tokens of both orders nor the age of the terms could be found, and stops of runs that another term had started left no line at all.

Change: `start` and `adopt` state fence and term_age_ms. New lines: `stop`, for each stop order to a run that this term neither started nor adopted, and for an own run whose task another run has done; `doubled`, once for a reported run of a task that runs elsewhere in this term, with both targets and run numbers, and the age and state of the other run.

Stops of own runs for other reasons keep their lines (`stuck`, `release`, `end`).

--- a/core/src/main/java/org/boragegap/core/cell/RunTracker.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunTracker.java
@@ -71,7 +71,7 @@
         if (runs.isEmpty()) {
             return;
         }
-        StringBuilder inputs = new StringBuilder("waited_ms=");
+        StringBuilder inputs = new StringBuilder(termInputs()).append(" waited_ms=");
         inputs.append(mTerm.nowMs() - job.arrivedMs()).append(" runs=");
         for (Run run : runs) {
             TaskName name = run.task().name();
@@ -85,6 +85,11 @@
         mTerm.log(Decision.job("start", job.id(), inputs.toString().trim(), outcome));
     }
 
+    /** Which term decides, so that orders of two controllers can be told apart. */
+    private String termInputs() {
+        return "fence=" + mTerm.fence() + " term_age_ms=" + (mTerm.nowMs() - mTerm.sinceMs());
+    }
+
     private CellAction.StartRun startOrder(Run run, Target target) {
         long untilMs =
                 target.leaseEndOnTargetClock(
@@ -271,13 +276,43 @@
         }
         mTerm.recordStarted(activeRun.task().job());
         Target.ForeignRun foreign = new Target.ForeignRun(activeRun.task(), activeRun.run());
-        target.foreignRuns().putIfAbsent(foreign, mTerm.nowMs());
+        boolean isNew = target.foreignRuns().putIfAbsent(foreign, mTerm.nowMs()) == null;
         CellJob job = mTerm.jobs().get(activeRun.task().job());
         if (job != null) {
+            if (isNew) {
+                logIfDoubled(job, target, foreign);
+            }
             adoptRun(job, target, foreign);
         }
     }
 
+    /** Logs that a foreign run and a run of this term are runs of one task. */
+    private void logIfDoubled(CellJob job, Target target, Target.ForeignRun foreign) {
+        job.task(foreign.task())
+                .flatMap(CellTask::run)
+                .ifPresent(run -> logDoubled(run, target, foreign));
+    }
+
+    private void logDoubled(Run run, Target target, Target.ForeignRun foreign) {
+        mTerm.log(
+                Decision.run(
+                        "doubled",
+                        foreign.task(),
+                        target.id(),
+                        termInputs()
+                                + " run="
+                                + foreign.run()
+                                + " other_run="
+                                + run.number()
+                                + " other_target="
+                                + run.target().id()
+                                + " other_age_ms="
+                                + (mTerm.nowMs() - run.orderedMs())
+                                + " other_state="
+                                + run.state(),
+                        "the run that was reported is to be stopped"));
+    }
+
     private void ended(Target target, TargetReport.EndedRun endedRun, boolean exact) {
         Run run = target.run(endedRun.task(), endedRun.run()).orElse(null);
         if (run == null) {
@@ -369,6 +404,7 @@
         for (Target target : mTerm.targets().values()) {
             for (Target.ForeignRun foreign : List.copyOf(target.foreignRuns().keySet())) {
                 if (foreign.task().job().equals(job.id())) {
+                    logIfDoubled(job, target, foreign);
                     adoptRun(job, target, foreign);
                 }
             }
@@ -392,13 +428,24 @@
 
     /** Marks a task as done; stops its current run, started because the done one seemed lost. */
     private boolean markKnownDone(CellTask task) {
-        task.run().ifPresent(this::stop);
+        task.run().ifPresent(this::stopSuperseded);
         task.job().markMayHaveStarted();
         boolean allDone = task.job().finish(task);
         requeue(task);
         return allDone;
     }
 
+    private void stopSuperseded(Run run) {
+        stop(run);
+        mTerm.log(
+                Decision.run(
+                        "stop",
+                        run.task().name(),
+                        run.target().id(),
+                        termInputs() + " run=" + run.number(),
+                        "the task is done in another run"));
+    }
+
     private void adoptRun(CellJob job, Target target, Target.ForeignRun foreign) {
         CellTask task = job.task(foreign.task()).orElse(null);
         if (task == null || !task.idle()) {
@@ -410,7 +457,12 @@
         target.foreignRuns().remove(foreign);
         target.add(run);
         mTerm.log(
-                Decision.run("adopt", task.name(), target.id(), "run=" + foreign.run(), "runs on"));
+                Decision.run(
+                        "adopt",
+                        task.name(),
+                        target.id(),
+                        termInputs() + " run=" + foreign.run(),
+                        "runs on"));
     }
 
     /**
@@ -491,8 +543,19 @@
                             boolean own = mTerm.ownsJob(foreign.task().job());
                             if (own && mTerm.nowMs() - sinceMs > FOREIGN_GRACE_MS) {
                                 target.foreignRuns().put(foreign, mTerm.nowMs());
-                                mTerm.emit(stopOrder(target, foreign.task(), foreign.run()));
+                                stopForeign(target, foreign);
                             }
                         });
     }
+
+    private void stopForeign(Target target, Target.ForeignRun foreign) {
+        mTerm.emit(stopOrder(target, foreign.task(), foreign.run()));
+        mTerm.log(
+                Decision.run(
+                        "stop",
+                        foreign.task(),
+                        target.id(),
+                        termInputs() + " run=" + foreign.run(),
+                        "neither started nor adopted in this term"));
+    }
 }
