--- a/core/src/main/java/org/boragegap/core/cell/RunTracker.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunTracker.java
@@ -36,6 +36,7 @@
     private final Term mTerm;
     private final RunTimeEstimator mRunTimes;
     private final TargetHealth mHealth;
+    private final RunLog mLog;
     private final ForeignDoneTasks mForeignDone = new ForeignDoneTasks();
     private JobLifecycle mJobs;
     private LeaseManager mLeases;
@@ -46,6 +47,7 @@
         mRunTimes = runTimes;
         mCrashes = crashes;
         mHealth = new TargetHealth(term, runTimes);
+        mLog = new RunLog(term);
     }
 
     /** Sets the collaborators with circular dependencies. Has to be called once, before use. */
@@ -54,7 +56,7 @@
         mLeases = leases;
     }
 
-    /** Orders the start of a task. The caller logs it together with the other starts of the job. */
+    /** Orders the start of a task. The caller logs it by {@link #logStarts}. */
     Run start(CellTask task, Target target) {
         int number = task.takeRunNumber();
         Run run = new Run(task, number, target, mTerm.nowMs(), Run.State.STARTING);
@@ -66,28 +68,11 @@
         return run;
     }
 
-    /** Logs all starts of a job on one line, because each log line costs processor time. */
+    /** See {@link RunLog#started}. */
     void logStarts(CellJob job, List<Run> runs) {
-        if (runs.isEmpty()) {
-            return;
-        }
-        StringBuilder inputs = new StringBuilder(termInputs()).append(" waited_ms=");
-        inputs.append(mTerm.nowMs() - job.arrivedMs()).append(" runs=");
-        for (Run run : runs) {
-            TaskName name = run.task().name();
-            inputs.append(name.step()).append('.').append(name.index());
-            inputs.append('#').append(run.number());
-            inputs.append('@').append(run.target().id());
-            inputs.append("(speed=").append(Math.round(run.target().speed() * 100));
-            inputs.append(" free_cpu=").append(run.target().freeCpu()).append(") ");
+        if (!runs.isEmpty()) {
+            mLog.started(job, runs);
         }
-        String outcome = runs.size() + " ordered";
-        mTerm.log(Decision.job("start", job.id(), inputs.toString().trim(), outcome));
-    }
-
-    /** Which term decides, so that orders of two controllers can be told apart. */
-    private String termInputs() {
-        return "fence=" + mTerm.fence() + " term_age_ms=" + (mTerm.nowMs() - mTerm.sinceMs());
     }
 
     private CellAction.StartRun startOrder(Run run, Target target) {
@@ -179,13 +164,7 @@
             run.task().clearRun();
             requeue(run.task());
         }
-        mTerm.log(
-                Decision.run(
-                        "release",
-                        run.task().name(),
-                        run.target().id(),
-                        "run=" + run.number() + " age_ms=" + (mTerm.nowMs() - run.orderedMs()),
-                        cause));
+        mLog.released(run, cause);
     }
 
     private void requeue(CellTask task) {
@@ -290,27 +269,7 @@
     private void logIfDoubled(CellJob job, Target target, Target.ForeignRun foreign) {
         job.task(foreign.task())
                 .flatMap(CellTask::run)
-                .ifPresent(run -> logDoubled(run, target, foreign));
-    }
-
-    private void logDoubled(Run run, Target target, Target.ForeignRun foreign) {
-        mTerm.log(
-                Decision.run(
-                        "doubled",
-                        foreign.task(),
-                        target.id(),
-                        termInputs()
-                                + " run="
-                                + foreign.run()
-                                + " other_run="
-                                + run.number()
-                                + " other_target="
-                                + run.target().id()
-                                + " other_age_ms="
-                                + (mTerm.nowMs() - run.orderedMs())
-                                + " other_state="
-                                + run.state(),
-                        "the run that was reported is to be stopped"));
+                .ifPresent(run -> mLog.doubled(run, target, foreign));
     }
 
     private void ended(Target target, TargetReport.EndedRun endedRun, boolean exact) {
@@ -350,13 +309,7 @@
         if (cause.done() && tookMs <= SLOW_RUN_LOG_FACTOR * expectedMs) {
             return;
         }
-        mTerm.log(
-                Decision.run(
-                        "ended",
-                        run.task().name(),
-                        run.target().id(),
-                        "run=" + run.number() + " took_ms=" + tookMs + " expected_ms=" + expectedMs,
-                        cause.name()));
+        mLog.ended(run, tookMs, expectedMs, cause);
     }
 
     private void applyEnd(CellTask task, EndCause cause) {
@@ -437,13 +390,7 @@
 
     private void stopSuperseded(Run run) {
         stop(run);
-        mTerm.log(
-                Decision.run(
-                        "stop",
-                        run.task().name(),
-                        run.target().id(),
-                        termInputs() + " run=" + run.number(),
-                        "the task is done in another run"));
+        mLog.stoppedAsSuperseded(run);
     }
 
     private void adoptRun(CellJob job, Target target, Target.ForeignRun foreign) {
@@ -456,13 +403,7 @@
         job.markMayHaveStarted();
         target.foreignRuns().remove(foreign);
         target.add(run);
-        mTerm.log(
-                Decision.run(
-                        "adopt",
-                        task.name(),
-                        target.id(),
-                        termInputs() + " run=" + foreign.run(),
-                        "runs on"));
+        mLog.adopted(run);
     }
 
     /**
@@ -509,16 +450,7 @@
             mLeases.requestReport(run.target());
             return;
         }
-        mTerm.log(
-                Decision.run(
-                        "stuck",
-                        run.task().name(),
-                        run.target().id(),
-                        "age_ms="
-                                + (mTerm.nowMs() - run.confirmedMs())
-                                + " percent="
-                                + run.percent(),
-                        "stopped, to be started elsewhere"));
+        mLog.stuck(run);
         mHealth.recordStuckRun(run);
         stop(run);
     }
@@ -550,12 +482,6 @@
 
     private void stopForeign(Target target, Target.ForeignRun foreign) {
         mTerm.emit(stopOrder(target, foreign.task(), foreign.run()));
-        mTerm.log(
-                Decision.run(
-                        "stop",
-                        foreign.task(),
-                        target.id(),
-                        termInputs() + " run=" + foreign.run(),
-                        "neither started nor adopted in this term"));
+        mLog.stoppedForeign(target, foreign);
     }
 }
