--- a/core/src/main/java/org/boragegap/core/cell/RunTracker.java
+++ b/core/src/main/java/org/boragegap/core/cell/RunTracker.java
@@ -36,6 +36,7 @@
     private final Term mTerm;
     private final RunTimeEstimator mRunTimes;
     private final TargetHealth mHealth;
+    private final RunLog mLog;
     private final ForeignDoneTasks mForeignDone = new ForeignDoneTasks();
     private JobLifecycle mJobs;
     private LeaseManager mLeases;
@@ -46,6 +47,7 @@
         mRunTimes = runTimes;
         mCrashes = crashes;
         mHealth = new TargetHealth(term, runTimes);
+        mLog = new RunLog(term);
     }
 
     /** Sets the collaborators with circular dependencies. Has to be called once, before use. */
@@ -54,7 +56,7 @@
         mLeases = leases;
     }
 
-    /** Orders the start of a task. The caller logs it together with the other starts of the job. */
+    /** Orders the start of a task. The caller logs it by {@link #logStarts}. */
     Run start(CellTask task, Target target) {
         int number = task.takeRunNumber();
         Run run = new Run(task, number, target, mTerm.nowMs(), Run.State.STARTING);
@@ -66,23 +68,11 @@
         return run;
     }
 
-    /** Logs all starts of a job on one line, because each log line costs processor time. */
+    /** See {@link RunLog#started}. */
     void logStarts(CellJob job, List<Run> runs) {
-        if (runs.isEmpty()) {
-            return;
-        }
-        StringBuilder inputs = new StringBuilder("waited_ms=");
-        inputs.append(mTerm.nowMs() - job.arrivedMs()).append(" runs=");
-        for (Run run : runs) {
-            TaskName name = run.task().name();
-            inputs.append(name.step()).append('.').append(name.index());
-            inputs.append('#').append(run.number());
-            inputs.append('@').append(run.target().id());
-            inputs.append("(speed=").append(Math.round(run.target().speed() * 100));
-            inputs.append(" free_cpu=").append(run.target().freeCpu()).append(") ");
+        if (!runs.isEmpty()) {
+            mLog.started(job, runs);
         }
-        String outcome = runs.size() + " ordered";
-        mTerm.log(Decision.job("start", job.id(), inputs.toString().trim(), outcome));
     }
 
     private CellAction.StartRun startOrder(Run run, Target target) {
@@ -174,13 +164,7 @@
             run.task().clearRun();
             requeue(run.task());
         }
-        mTerm.log(
-                Decision.run(
-                        "release",
-                        run.task().name(),
-                        run.target().id(),
-                        "run=" + run.number() + " age_ms=" + (mTerm.nowMs() - run.orderedMs()),
-                        cause));
+        mLog.released(run, cause);
     }
 
     private void requeue(CellTask task) {
@@ -271,13 +255,23 @@
         }
         mTerm.recordStarted(activeRun.task().job());
         Target.ForeignRun foreign = new Target.ForeignRun(activeRun.task(), activeRun.run());
-        target.foreignRuns().putIfAbsent(foreign, mTerm.nowMs());
+        boolean isNew = target.foreignRuns().putIfAbsent(foreign, mTerm.nowMs()) == null;
         CellJob job = mTerm.jobs().get(activeRun.task().job());
         if (job != null) {
+            if (isNew) {
+                logIfDoubled(job, target, foreign);
+            }
             adoptRun(job, target, foreign);
         }
     }
 
+    /** Logs that a foreign run and a run of this term are runs of one task. */
+    private void logIfDoubled(CellJob job, Target target, Target.ForeignRun foreign) {
+        job.task(foreign.task())
+                .flatMap(CellTask::run)
+                .ifPresent(run -> mLog.doubled(run, target, foreign));
+    }
+
     private void ended(Target target, TargetReport.EndedRun endedRun, boolean exact) {
         Run run = target.run(endedRun.task(), endedRun.run()).orElse(null);
         if (run == null) {
@@ -315,13 +309,7 @@
         if (cause.done() && tookMs <= SLOW_RUN_LOG_FACTOR * expectedMs) {
             return;
         }
-        mTerm.log(
-                Decision.run(
-                        "ended",
-                        run.task().name(),
-                        run.target().id(),
-                        "run=" + run.number() + " took_ms=" + tookMs + " expected_ms=" + expectedMs,
-                        cause.name()));
+        mLog.ended(run, tookMs, expectedMs, cause);
     }
 
     private void applyEnd(CellTask task, EndCause cause) {
@@ -369,6 +357,7 @@
         for (Target target : mTerm.targets().values()) {
             for (Target.ForeignRun foreign : List.copyOf(target.foreignRuns().keySet())) {
                 if (foreign.task().job().equals(job.id())) {
+                    logIfDoubled(job, target, foreign);
                     adoptRun(job, target, foreign);
                 }
             }
@@ -392,13 +381,18 @@
 
     /** Marks a task as done; stops its current run, started because the done one seemed lost. */
     private boolean markKnownDone(CellTask task) {
-        task.run().ifPresent(this::stop);
+        task.run().ifPresent(this::stopSuperseded);
         task.job().markMayHaveStarted();
         boolean allDone = task.job().finish(task);
         requeue(task);
         return allDone;
     }
 
+    private void stopSuperseded(Run run) {
+        stop(run);
+        mLog.stoppedAsSuperseded(run);
+    }
+
     private void adoptRun(CellJob job, Target target, Target.ForeignRun foreign) {
         CellTask task = job.task(foreign.task()).orElse(null);
         if (task == null || !task.idle()) {
@@ -409,8 +403,7 @@
         job.markMayHaveStarted();
         target.foreignRuns().remove(foreign);
         target.add(run);
-        mTerm.log(
-                Decision.run("adopt", task.name(), target.id(), "run=" + foreign.run(), "runs on"));
+        mLog.adopted(run);
     }
 
     /**
@@ -457,16 +450,7 @@
             mLeases.requestReport(run.target());
             return;
         }
-        mTerm.log(
-                Decision.run(
-                        "stuck",
-                        run.task().name(),
-                        run.target().id(),
-                        "age_ms="
-                                + (mTerm.nowMs() - run.confirmedMs())
-                                + " percent="
-                                + run.percent(),
-                        "stopped, to be started elsewhere"));
+        mLog.stuck(run);
         mHealth.recordStuckRun(run);
         stop(run);
     }
@@ -491,8 +475,13 @@
                             boolean own = mTerm.ownsJob(foreign.task().job());
                             if (own && mTerm.nowMs() - sinceMs > FOREIGN_GRACE_MS) {
                                 target.foreignRuns().put(foreign, mTerm.nowMs());
-                                mTerm.emit(stopOrder(target, foreign.task(), foreign.run()));
+                                stopForeign(target, foreign);
                             }
                         });
     }
+
+    private void stopForeign(Target target, Target.ForeignRun foreign) {
+        mTerm.emit(stopOrder(target, foreign.task(), foreign.run()));
+        mLog.stoppedForeign(target, foreign);
+    }
 }
--- a/entry/src/main/java/org/boragegap/entry/cell/CellMemberDriver.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellMemberDriver.java
@@ -14,15 +14,19 @@
  * Used by the control thread only, except where noted.
  */
 final class CellMemberDriver {
+    private final int mCell;
     private final CellMember mMember;
     private final CellOutput mOutput;
+    private final CellMetrics mMetrics;
     private long mLastTickMs;
     private volatile boolean mWantsCell;
     private volatile boolean mCanServeCallers = true;
 
-    CellMemberDriver(CellMember member, CellOutput output) {
+    CellMemberDriver(int cell, CellMember member, CellOutput output, CellMetrics metrics) {
+        mCell = cell;
         mMember = member;
         mOutput = output;
+        mMetrics = metrics;
     }
 
     CellState state() {
@@ -94,7 +98,8 @@
         } else if (action instanceof MemberAction.Rejoin) {
             mOutput.rejoin();
         } else if (action instanceof MemberAction.Log log) {
-            DecisionLog.write(log.decision());
+            DecisionLog.write(mCell, log.decision());
+            mMetrics.decided(log.decision());
         }
     }
 
