Histories: late orders also arrive while their lease still runs

Guards against: a start that the controller has given up is carried out a moment later, while the lease that it names is still valid. The lease that a start names ends a second after it, so each late start was rejected as `late`, and only late stops had an effect. Change: half of the late orders arrive 300 to 1,100 ms after they were sent, the others up to 6 s after.

--- a/core/src/test/java/org/boragegap/core/cell/FaultRates.java
+++ b/core/src/test/java/org/boragegap/core/cell/FaultRates.java
@@ -5,7 +5,7 @@
     /** Answers of targets that are lost. */
     int mLostAnswers;
 
-    /** Orders that are executed seconds later, and not answered. */
+    /** Orders that are executed after their timeout, up to seconds later, and not answered. */
     int mLateOrders;
 
     /** Messages between entry VMs that are delayed. */
--- a/core/src/test/java/org/boragegap/core/cell/OrderTransport.java
+++ b/core/src/test/java/org/boragegap/core/cell/OrderTransport.java
@@ -7,14 +7,20 @@
 
 /**
  * Delivers orders of a simulated history to targets and returns their answers. Some answers are
- * lost or slow, and some orders arrive seconds late and get no answer. As with the connections of
- * the platform's adapter, an order that names an incarnation reaches no other, unless connections
- * are kept.
+ * lost or slow, and some orders arrive after their timeout, up to seconds late, and get no answer.
+ * As with the connections of the platform's adapter, an order that names an incarnation reaches no
+ * other, unless connections are kept.
  */
 final class OrderTransport {
     private static final long ANSWER_TIMEOUT_MS = 300;
     private static final int TASK_FAILURE_PERCENT = 2;
 
+    /** Late orders arrive after the sender's timeout, some while the lease they name still runs. */
+    private static final long MIN_LATE_MS = 300;
+
+    private static final long MAX_LATE_WITHIN_LEASE_MS = 1_100;
+    private static final long MAX_LATE_MS = 6_000;
+
     private final SimulatedClock mClock;
     private final SplittableRandom mRandom;
     private final NetworkDelays mDelays;
@@ -66,7 +72,7 @@
         if (target == null || partitioned.getAsBoolean()) {
             return;
         }
-        long orderDelayMs = late ? 2_000 + mRandom.nextLong(4_000) : mDelays.peerMs();
+        long orderDelayMs = late ? lateMs() : mDelays.peerMs();
         long answerDelayMs =
                 chance(mRates.mSlowAnswers) ? 50 + mRandom.nextLong(200) : mDelays.peerMs();
         Consumer<CellEvent> answer =
@@ -78,6 +84,11 @@
         mClock.after(orderDelayMs, () -> arrive(target, order, late, answer));
     }
 
+    private long lateMs() {
+        long maxMs = mRandom.nextBoolean() ? MAX_LATE_WITHIN_LEASE_MS : MAX_LATE_MS;
+        return MIN_LATE_MS + mRandom.nextLong(maxMs - MIN_LATE_MS);
+    }
+
     private void arrive(
             FakeTarget target, CellAction order, boolean late, Consumer<CellEvent> answer) {
         if (!target.alive()) {
