Histories: a stop takes up to 50 ms, and the run may end by itself first

Guards against: a run that is being stopped ends `done` or `failed`. Change: a stop takes 0 to 50 ms and never prolongs a run. LoadSimulation keeps its 30 ms.

--- a/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
@@ -14,7 +14,9 @@
  */
 final class FakeTarget {
     static final long MAX_LEASE_MS = 1_000;
-    private static final int STOP_MS = 30;
+
+    /** Longest time that a stop takes, in ms. */
+    static final int MAX_STOP_MS = 50;
 
     /**
      * How long an earlier, larger capacity remains valid, in ms: the platform's window and a
@@ -222,15 +224,17 @@
         return OrderResult.DONE;
     }
 
-    void stop(CellAction.StopRun order, Consumer<CellEvent> reply) {
+    /** Stops a run, which may end by itself before the stop takes effect. */
+    void stop(CellAction.StopRun order, long takesMs, Consumer<CellEvent> reply) {
         boolean taken = order.fence() >= mFence;
         if (taken) {
             mFence = order.fence();
             mSeenRuns.merge(order.task(), order.run(), Math::max);
             Running running = mRunning.get(order.task());
-            if (running != null && running.mRun == order.run()) {
+            boolean affected = running != null && running.mRun == order.run();
+            if (affected && mNowMs + takesMs < running.mEndsMs) {
                 mRunning.put(
-                        order.task(), new Running(order.run(), mNowMs + STOP_MS, EndCause.STOPPED));
+                        order.task(), new Running(order.run(), mNowMs + takesMs, EndCause.STOPPED));
             }
         }
         reply.accept(
--- a/core/src/test/java/org/boragegap/core/cell/LoadSimulation.java
+++ b/core/src/test/java/org/boragegap/core/cell/LoadSimulation.java
@@ -44,6 +44,9 @@
 
     private static final long LATE_RANGE_MS = 10_000;
 
+    /** How long a stop takes, in ms. */
+    private static final long STOP_MS = 30;
+
     /** Share of orders that get no answer and are carried out seconds later, within a period. */
     record LostOrders(double share, long fromMs, long untilMs) {
         static LostOrders none() {
@@ -325,7 +328,7 @@
         } else if (action instanceof CellAction.StartRun order) {
             target.start(order, runTimeMs(order), false, reply);
         } else if (action instanceof CellAction.StopRun order) {
-            target.stop(order, reply);
+            target.stop(order, STOP_MS, reply);
         }
     }
 
--- a/core/src/test/java/org/boragegap/core/cell/OrderTransport.java
+++ b/core/src/test/java/org/boragegap/core/cell/OrderTransport.java
@@ -123,7 +123,8 @@
             long runTimeMs = mRandom.nextInt(6) == 0 ? 1_500 : 30 + mRandom.nextInt(300);
             target.start(start, runTimeMs, chance(TASK_FAILURE_PERCENT), answer);
         } else {
-            target.stop((CellAction.StopRun) order, answer);
+            long stopTimeMs = mRandom.nextInt(FakeTarget.MAX_STOP_MS + 1);
+            target.stop((CellAction.StopRun) order, stopTimeMs, answer);
         }
     }
 }
