Histories: the store lists crashed targets until their entries expire

Guards against: a list that contains a crashed target beside its successor at the same address, or the previous incarnation of one that has restarted. Before: the list knew of each crash and restart at once. Change: the entry of a crashed target is listed for up to 4.5 s; one that restarts under the same id replaces it within 1.5 s.

--- a/core/src/test/java/org/boragegap/core/cell/FakePlatform.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakePlatform.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.boragegap.core.HistoryTrace;
@@ -27,12 +28,22 @@
     private static final long MIN_MASS_RESTART_DELAY_MS = 300;
     private static final long MAX_MASS_RESTART_DELAY_MS = 1_200;
 
+    /** A crashed target's entry in the store's list expires after three intervals of silence. */
+    private static final long MAX_EXPIRY_MS = 4_500;
+
+    /** A target writes its entry once in this time. */
+    private static final long ENTRY_INTERVAL_MS = 1_500;
+
+    /** The entry of a target that has crashed, and until when the store lists it. */
+    private record OldEntry(TargetInfo info, long listedUntilMs) {}
+
     private final SimulatedClock mClock;
     private final SplittableRandom mRandom;
     private final InvariantChecker mOracle;
     private final HistoryTrace mTrace;
     private final Map<String, FakeTarget> mTargets = new HashMap<>();
     private final Set<String> mUnlisted = new HashSet<>();
+    private final Map<String, OldEntry> mOldEntries = new HashMap<>();
     private final Set<String> mEvacuated = new HashSet<>();
     private boolean mStatesIncarnations;
     private int mNextTarget = 1;
@@ -93,17 +104,38 @@
         return ids().stream().filter(id -> mRandom.nextBoolean()).toList();
     }
 
-    /** The targets that the store lists. */
+    /** The targets that the store lists: not all that are alive, and some that have crashed. */
     List<TargetInfo> listedTargets() {
         List<TargetInfo> infos = new ArrayList<>();
         for (FakeTarget target : mTargets.values()) {
-            if (target.alive() && !mUnlisted.contains(target.info().id())) {
-                infos.add(target.info());
+            if (!mUnlisted.contains(target.info().id())) {
+                entry(target).ifPresent(infos::add);
             }
         }
         return infos;
     }
 
+    private Optional<TargetInfo> entry(FakeTarget target) {
+        OldEntry old = mOldEntries.get(target.info().id());
+        if (old != null && mClock.nowMs() < old.listedUntilMs()) {
+            return Optional.of(old.info());
+        }
+        return target.alive() ? Optional.of(target.info()) : Optional.empty();
+    }
+
+    private void keepEntry(TargetInfo info) {
+        long untilMs = mClock.nowMs() + mRandom.nextLong(MAX_EXPIRY_MS);
+        mOldEntries.put(info.id(), new OldEntry(info, untilMs));
+    }
+
+    /** The next incarnation replaces the entry with its first regular write, if not earlier. */
+    private void replaceEntry(String id) {
+        long writtenMs = mClock.nowMs() + mRandom.nextLong(ENTRY_INTERVAL_MS);
+        mOldEntries.computeIfPresent(
+                id,
+                (key, old) -> new OldEntry(old.info(), Math.min(old.listedUntilMs(), writtenMs)));
+    }
+
     /** Failure domains that operators are evacuating. */
     Set<String> evacuatedDomains() {
         return Set.copyOf(mEvacuated);
@@ -136,6 +168,7 @@
 
     private void crash(FakeTarget target) {
         target.crash();
+        keepEntry(target.info());
         mTrace.record(mClock.nowMs(), target.info().id(), "crashed");
     }
 
@@ -169,6 +202,7 @@
     }
 
     private void restart(FakeTarget target) {
+        replaceEntry(target.info().id());
         target.restart(mClock.nowMs());
         mTrace.record(mClock.nowMs(), target.info().id(), "restarted as " + target.info());
     }
