Histories: targets drain, serve on for seconds, and leave

Guards against: work on a target that is draining, and its end with all that runs. Before: no target of a history ever drained. Change: half of the single losses of a target are drains of 2 to 8 s; the entry is removed when the target leaves.

--- a/core/src/test/java/org/boragegap/core/cell/FakePlatform.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakePlatform.java
@@ -37,6 +37,9 @@
     /** The entry of a target that has crashed, and until when the store lists it. */
     private record OldEntry(TargetInfo info, long listedUntilMs) {}
 
+    private static final long MIN_DRAIN_MS = 2_000;
+    private static final long MAX_DRAIN_MS = 8_000;
+
     private final SimulatedClock mClock;
     private final SplittableRandom mRandom;
     private final InvariantChecker mOracle;
@@ -141,10 +144,32 @@
         return Set.copyOf(mEvacuated);
     }
 
-    /** Crashes a random target, which comes back as another incarnation. */
+    /** Crashes a random target or drains it; it comes back as another incarnation. */
     void crashOne() {
         List<String> ids = ids();
-        crash(mTargets.get(ids.get(mRandom.nextInt(ids.size()))), RESTART_DELAY_MS);
+        FakeTarget target = mTargets.get(ids.get(mRandom.nextInt(ids.size())));
+        if (mRandom.nextBoolean()) {
+            crash(target, RESTART_DELAY_MS);
+        } else {
+            drain(target);
+        }
+    }
+
+    private void drain(FakeTarget target) {
+        if (target.alive() && !target.info().draining()) {
+            target.drain();
+            mTrace.record(mClock.nowMs(), target.info().id(), "draining");
+            long leavesAfterMs = MIN_DRAIN_MS + mRandom.nextLong(MAX_DRAIN_MS - MIN_DRAIN_MS);
+            mClock.after(leavesAfterMs, () -> leave(target, target.info().incarnation()));
+        }
+    }
+
+    /** Ends a drained target; what runs there is terminated, and its entry is removed. */
+    private void leave(FakeTarget target, long incarnation) {
+        if (target.info().incarnation() == incarnation) {
+            crash(target, RESTART_DELAY_MS);
+            mOldEntries.remove(target.info().id());
+        }
     }
 
     /**
--- a/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
@@ -102,19 +102,27 @@
     void resize(int cpuMillis, long nowMs) {
         mEarlierCapacities.add(
                 new EarlierCapacity(mInfo.cpuMillis(), nowMs + OLD_CAPACITY_VALID_MS));
-        mInfo =
-                new TargetInfo(
-                        mInfo.id(),
-                        mInfo.address(),
-                        mInfo.service(),
-                        mInfo.failureDomain(),
-                        cpuMillis,
-                        mInfo.memoryMb(),
-                        mInfo.accelerators(),
-                        mInfo.labels(),
-                        mInfo.enforcesCapacity(),
-                        mInfo.draining(),
-                        mInfo.incarnation());
+        mInfo = describe(cpuMillis, mInfo.draining());
+    }
+
+    /** Begins to drain: goes on serving until it leaves. */
+    void drain() {
+        mInfo = describe(mInfo.cpuMillis(), true);
+    }
+
+    private TargetInfo describe(int cpuMillis, boolean draining) {
+        return new TargetInfo(
+                mInfo.id(),
+                mInfo.address(),
+                mInfo.service(),
+                mInfo.failureDomain(),
+                cpuMillis,
+                mInfo.memoryMb(),
+                mInfo.accelerators(),
+                mInfo.labels(),
+                mInfo.enforcesCapacity(),
+                draining,
+                mInfo.incarnation());
     }
 
     /** States from now on which incarnation of this id the target is. */
@@ -127,6 +135,7 @@
      * and its clock start anew.
      */
     void restart(long nowMs) {
+        mInfo = describe(mInfo.cpuMillis(), false);
         stateIncarnation();
         mSeenRuns.clear();
         mEnded.clear();
