Histories: target clocks are up to 2% slow

Guards against: leases that are counted too short for the slowest clock allowed. Before: up to 1.5%.

--- a/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
@@ -74,7 +74,7 @@
         mOracle = oracle;
     }
 
-    /** Creates a target with capacity for two tasks and a clock that is up to 1.5% slow. */
+    /** Creates a target with capacity for two tasks and a clock that is up to 2% slow. */
     static FakeTarget createRandom(
             String id,
             String address,
@@ -86,7 +86,7 @@
         TargetInfo info =
                 new TargetInfo(
                         id, address, "service", domain, capacity, 100, 0, Set.of(), false, false);
-        double rate = 0.985 + random.nextDouble() * 0.015;
+        double rate = 0.98 + random.nextDouble() * 0.02;
         return new FakeTarget(info, rate, taskCpu, oracle);
     }
 
