Histories: the address of a crashed target may refuse connections

Guards against: a refused connection that is taken for the end of a target's runs, or for its return. Before: an order to a crashed target whose successor wasn't up never got an answer. Change: half of such orders can't be sent.

--- a/core/src/test/java/org/boragegap/core/cell/OrderTransport.java
+++ b/core/src/test/java/org/boragegap/core/cell/OrderTransport.java
@@ -92,9 +92,7 @@
     private void arrive(
             FakeTarget target, CellAction order, boolean late, Consumer<CellEvent> answer) {
         if (!target.alive()) {
-            if (mPlatform.isTargetAliveAt(target.info().address())) {
-                answer.accept(Orders.failed(order, OrderResult.OTHER_INCARNATION));
-            }
+            rejectForOther(target, order, answer);
             return;
         }
         if (!mConnectionsOutlastTargets && isForOther(order, target)) {
@@ -108,6 +106,15 @@
         execute(target, order, answer);
     }
 
+    /** While no process listens at the address, its machine may refuse the connection. */
+    private void rejectForOther(FakeTarget target, CellAction order, Consumer<CellEvent> answer) {
+        if (mPlatform.isTargetAliveAt(target.info().address())) {
+            answer.accept(Orders.failed(order, OrderResult.OTHER_INCARNATION));
+        } else if (mRandom.nextBoolean()) {
+            answer.accept(Orders.failed(order, OrderResult.NOT_SENT));
+        }
+    }
+
     /** True if the connection on which the meant incarnation was identified has ended with it. */
     private static boolean isForOther(CellAction order, FakeTarget target) {
         long meant = Orders.target(order).incarnation();
