Histories: a quarter of the orders cross a partition, their answers don't

Guards against: a controller that hears nothing from a target, while its starts and leases take effect there. Change: a quarter of the orders get through.

--- a/core/src/test/java/org/boragegap/core/cell/OrderTransport.java
+++ b/core/src/test/java/org/boragegap/core/cell/OrderTransport.java
@@ -15,6 +15,9 @@
     private static final long ANSWER_TIMEOUT_MS = 300;
     private static final int TASK_FAILURE_PERCENT = 2;
 
+    /** Share of the orders that cross a partition, which their answers don't, in percent. */
+    private static final int ONE_WAY_PERCENT = 25;
+
     /** Late orders arrive after the sender's timeout, some while the lease they name still runs. */
     private static final long MIN_LATE_MS = 300;
 
@@ -69,7 +72,7 @@
         boolean late = chance(mRates.mLateOrders);
         long timeoutMs = ANSWER_TIMEOUT_MS + Orders.waitMs(order);
         mClock.after(timeoutMs, () -> toController.accept(Orders.unanswered(order)));
-        if (target == null || partitioned.getAsBoolean()) {
+        if (target == null || partitioned.getAsBoolean() && !chance(ONE_WAY_PERCENT)) {
             return;
         }
         long orderDelayMs = late ? lateMs() : mDelays.peerMs();
