Histories: no start arrives at a target that has been draining for 5 s

Guards against: a controller that goes on using a target after it was told that the target is draining. Before: not checked. Orders that are carried out late aren't counted, as in the check of evacuations.

--- a/core/src/test/java/org/boragegap/core/cell/FakePlatform.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakePlatform.java
@@ -158,6 +158,7 @@
     private void drain(FakeTarget target) {
         if (target.alive() && !target.info().draining()) {
             target.drain();
+            mOracle.draining(target.info().id());
             mTrace.record(mClock.nowMs(), target.info().id(), "draining");
             long leavesAfterMs = MIN_DRAIN_MS + mRandom.nextLong(MAX_DRAIN_MS - MIN_DRAIN_MS);
             mClock.after(leavesAfterMs, () -> leave(target, target.info().incarnation()));
--- a/core/src/test/java/org/boragegap/core/cell/InvariantChecker.java
+++ b/core/src/test/java/org/boragegap/core/cell/InvariantChecker.java
@@ -11,6 +11,12 @@
 
 /** Records the events of targets and callers, and every violation of an invariant. */
 final class InvariantChecker {
+    /**
+     * How long start orders may still arrive at a draining target, in ms: the platform's 2,000 ms
+     * for a sender in touch, and the 3,000 ms after which one counts as in touch again.
+     */
+    private static final long DRAIN_LIMIT_MS = 5_000;
+
     private final Map<TaskName, Set<String>> mRunning = new HashMap<>();
     private final Set<TaskName> mDone = new HashSet<>();
     private final Set<String> mStartedJobs = new HashSet<>();
@@ -22,6 +28,7 @@
     private final Map<String, Integer> mVerdicts = new TreeMap<>();
     private final List<String> mFalseRefusals = new ArrayList<>();
     private final Map<String, Long> mEvacuatedMs = new HashMap<>();
+    private final Map<String, Long> mDrainingMs = new HashMap<>();
     private long mEvacuationLimitMs = Long.MAX_VALUE;
     private long mNowMs;
 
@@ -63,6 +70,10 @@
         mEvacuatedMs.remove(domain);
     }
 
+    void draining(String target) {
+        mDrainingMs.put(target, mNowMs);
+    }
+
     /** Checks a start order that arrived without an injected delay. */
     void startArrived(TaskName task, TargetInfo target) {
         Long sinceMs = mEvacuatedMs.get(target.failureDomain());
@@ -70,6 +81,10 @@
             reportViolation(
                     "started in an evacuated domain: " + task.text() + " on " + target.id());
         }
+        Long drainingMs = mDrainingMs.get(target.id());
+        if (target.draining() && drainingMs != null && mNowMs - drainingMs > DRAIN_LIMIT_MS) {
+            reportViolation("started on a draining target: " + task.text() + " on " + target.id());
+        }
     }
 
     void ended(TaskName task, String target, EndCause cause) {
