Target stand-in: stops take time, 500 ends at a time, only ended runs rejected

Guards against: end-to-end tests that rely on a target that stops at once, lists all its ends, and rejects a run that is lower than one that is still active.

--- a/standin/src/main/java/org/boragegap/standin/CellTargetStandin.java
+++ b/standin/src/main/java/org/boragegap/standin/CellTargetStandin.java
@@ -28,6 +28,8 @@
     private static final int CONFLICT = 409;
     private static final int OTHER_INCARNATION = 421;
     private static final long MAX_LEASE_MS = 1_000;
+    private static final long STOP_MS = 50;
+    private static final int MAX_LISTED_ENDS = 500;
     private static final long TICK_INTERVAL_MS = 5;
     private static final long CLOCK_OFFSET_MS = 480_000;
 
@@ -44,7 +46,7 @@
         LATE
     }
 
-    private record Run(int number, long endsMs) {}
+    private record Run(int number, long endsMs, String cause) {}
 
     private record EndedRun(long cursor, String task, int run, String cause) {}
 
@@ -57,7 +59,10 @@
     private final StoreStandin mStore;
     private final ScheduledExecutorService mTimer;
     private final Map<String, Run> mRunning = new HashMap<>();
-    private final Map<String, Integer> mHighestRuns = new HashMap<>();
+
+    /** Highest run of each task that was stopped or has ended; it starts no run up to that. */
+    private final Map<String, Integer> mRejectedUpTo = new HashMap<>();
+
     private final Map<String, Integer> mStarts = new HashMap<>();
     private final List<EndedRun> mEnded = new ArrayList<>();
     private final List<HeldCall> mHeldCalls = new ArrayList<>();
@@ -131,7 +136,7 @@
      */
     public synchronized void restart() {
         mRunning.clear();
-        mHighestRuns.clear();
+        mRejectedUpTo.clear();
         mEnded.clear();
         mHeldCalls.forEach(call -> call.request().drop());
         mHeldCalls.clear();
@@ -260,12 +265,11 @@
         if (running != null && running.number() == number) {
             return "";
         }
-        if (number <= mHighestRuns.getOrDefault(task, 0)) {
+        if (number <= mRejectedUpTo.getOrDefault(task, 0)) {
             return "old";
         }
-        mHighestRuns.put(task, number);
         mStarts.merge(task, 1, Integer::sum);
-        mRunning.put(task, new Run(number, clockMs() + body.path("Spec").asLong()));
+        mRunning.put(task, new Run(number, clockMs() + body.path("Spec").asLong(), "done"));
         mMaxRunning = Math.max(mMaxRunning, mRunning.size());
         return "";
     }
@@ -273,14 +277,22 @@
     private String stop(JsonNode body) {
         String task = body.path("Task").asText();
         int number = body.path("Run").asInt();
-        mHighestRuns.merge(task, number, Math::max);
+        mRejectedUpTo.merge(task, number, Math::max);
         Run running = mRunning.get(task);
         if (running != null && running.number() == number) {
-            endRun(task, running, "stopped");
+            stop(task, running);
         }
         return "";
     }
 
+    /** Stops a run, which may end by itself before the stop takes effect. */
+    private void stop(String task, Run running) {
+        long endsMs = clockMs() + STOP_MS;
+        if (endsMs < running.endsMs()) {
+            mRunning.put(task, new Run(running.number(), endsMs, "stopped"));
+        }
+    }
+
     private void hold(IncomingRequest request, JsonNode body) {
         extendLease(body.path("UntilMs").asLong());
         mEnded.removeIf(endedRun -> endedRun.cursor() <= body.path("AckCursor").asLong());
@@ -293,7 +305,7 @@
         for (String task : List.copyOf(mRunning.keySet())) {
             Run run = mRunning.get(task);
             if (leaseExpired || clockMs() >= run.endsMs()) {
-                endRun(task, run, leaseExpired ? "lapsed" : "done");
+                endRun(task, run, leaseExpired ? "lapsed" : run.cause());
             }
         }
         answerHeldCalls();
@@ -301,6 +313,7 @@
 
     private void endRun(String task, Run run, String cause) {
         mRunning.remove(task);
+        mRejectedUpTo.merge(task, run.number(), Math::max);
         mEnded.add(new EndedRun(mNextCursor++, task, run.number(), cause));
     }
 
@@ -320,7 +333,7 @@
         mRunning.forEach(
                 (task, run) -> running.addArray().add(task).add(run.number()).add("").add(50));
         ArrayNode ended = report.putArray("Ended");
-        for (EndedRun endedRun : mEnded) {
+        for (EndedRun endedRun : mEnded.subList(0, Math.min(mEnded.size(), MAX_LISTED_ENDS))) {
             ended.addArray()
                     .add(endedRun.cursor())
                     .add(endedRun.task())
