--- a/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeTarget.java
@@ -14,7 +14,9 @@
  */
 final class FakeTarget {
     static final long MAX_LEASE_MS = 1_000;
-    private static final int STOP_MS = 30;
+
+    /** Longest time that a stop takes, in ms. */
+    static final int MAX_STOP_MS = 50;
 
     /**
      * How long an earlier, larger capacity remains valid, in ms: the platform's window and a
@@ -55,7 +57,10 @@
     private final int mTaskCpu;
     private final InvariantChecker mOracle;
     private final Map<TaskName, Running> mRunning = new HashMap<>();
-    private final Map<TaskName, Integer> mSeenRuns = new HashMap<>();
+
+    /** Highest run of each task that was stopped or has ended; it starts no run up to that. */
+    private final Map<TaskName, Integer> mRejectedUpTo = new HashMap<>();
+
     private final List<TargetReport.EndedRun> mEnded = new ArrayList<>();
     private final List<PendingCall> mPendingCalls = new ArrayList<>();
     private long mFence;
@@ -72,7 +77,7 @@
         mOracle = oracle;
     }
 
-    /** Creates a target with capacity for two tasks and a clock that is up to 1.5% slow. */
+    /** Creates a target with capacity for two tasks and a clock that is up to 2% slow. */
     static FakeTarget createRandom(
             String id,
             String address,
@@ -84,7 +89,7 @@
         TargetInfo info =
                 new TargetInfo(
                         id, address, "service", domain, capacity, 100, 0, Set.of(), false, false);
-        double rate = 0.985 + random.nextDouble() * 0.015;
+        double rate = 0.98 + random.nextDouble() * 0.02;
         return new FakeTarget(info, rate, taskCpu, oracle);
     }
 
@@ -100,19 +105,27 @@
     void resize(int cpuMillis, long nowMs) {
         mEarlierCapacities.add(
                 new EarlierCapacity(mInfo.cpuMillis(), nowMs + OLD_CAPACITY_VALID_MS));
-        mInfo =
-                new TargetInfo(
-                        mInfo.id(),
-                        mInfo.address(),
-                        mInfo.service(),
-                        mInfo.failureDomain(),
-                        cpuMillis,
-                        mInfo.memoryMb(),
-                        mInfo.accelerators(),
-                        mInfo.labels(),
-                        mInfo.enforcesCapacity(),
-                        mInfo.draining(),
-                        mInfo.incarnation());
+        mInfo = describe(cpuMillis, mInfo.draining());
+    }
+
+    /** Begins to drain: goes on serving until it leaves. */
+    void drain() {
+        mInfo = describe(mInfo.cpuMillis(), true);
+    }
+
+    private TargetInfo describe(int cpuMillis, boolean draining) {
+        return new TargetInfo(
+                mInfo.id(),
+                mInfo.address(),
+                mInfo.service(),
+                mInfo.failureDomain(),
+                cpuMillis,
+                mInfo.memoryMb(),
+                mInfo.accelerators(),
+                mInfo.labels(),
+                mInfo.enforcesCapacity(),
+                draining,
+                mInfo.incarnation());
     }
 
     /** States from now on which incarnation of this id the target is. */
@@ -125,8 +138,9 @@
      * and its clock start anew.
      */
     void restart(long nowMs) {
+        mInfo = describe(mInfo.cpuMillis(), false);
         stateIncarnation();
-        mSeenRuns.clear();
+        mRejectedUpTo.clear();
         mEnded.clear();
         mFence = 0;
         mLeaseEndMs = 0;
@@ -212,25 +226,26 @@
         if (running != null && running.mRun == order.run()) {
             return OrderResult.DONE;
         }
-        if (order.run() <= mSeenRuns.getOrDefault(order.task(), 0)) {
+        if (order.run() <= mRejectedUpTo.getOrDefault(order.task(), 0)) {
             return OrderResult.OLD_RUN;
         }
-        mSeenRuns.put(order.task(), order.run());
         EndCause cause = fails ? EndCause.FAILED : EndCause.DONE;
         mRunning.put(order.task(), new Running(order.run(), mNowMs + takesMs, cause));
         mOracle.started(order.task(), mInfo.id(), mRunning.size() * mTaskCpu, effectiveCapacity());
         return OrderResult.DONE;
     }
 
-    void stop(CellAction.StopRun order, Consumer<CellEvent> reply) {
+    /** Stops a run, which may end by itself before the stop takes effect. */
+    void stop(CellAction.StopRun order, long takesMs, Consumer<CellEvent> reply) {
         boolean taken = order.fence() >= mFence;
         if (taken) {
             mFence = order.fence();
-            mSeenRuns.merge(order.task(), order.run(), Math::max);
+            mRejectedUpTo.merge(order.task(), order.run(), Math::max);
             Running running = mRunning.get(order.task());
-            if (running != null && running.mRun == order.run()) {
+            boolean affected = running != null && running.mRun == order.run();
+            if (affected && mNowMs + takesMs < running.mEndsMs) {
                 mRunning.put(
-                        order.task(), new Running(order.run(), mNowMs + STOP_MS, EndCause.STOPPED));
+                        order.task(), new Running(order.run(), mNowMs + takesMs, EndCause.STOPPED));
             }
         }
         reply.accept(
@@ -256,6 +271,7 @@
 
     private void end(TaskName task, Running running, EndCause cause) {
         mRunning.remove(task);
+        mRejectedUpTo.merge(task, running.mRun, Math::max);
         mEnded.add(new TargetReport.EndedRun(mNextEndSequence++, task, running.mRun, cause));
         mOracle.ended(task, mInfo.id(), cause);
     }
--- a/core/src/test/java/org/boragegap/core/cell/OrderTransport.java
+++ b/core/src/test/java/org/boragegap/core/cell/OrderTransport.java
@@ -7,14 +7,23 @@
 
 /**
  * Delivers orders of a simulated history to targets and returns their answers. Some answers are
- * lost or slow, and some orders arrive seconds late and get no answer. As with the connections of
- * the platform's adapter, an order that names an incarnation reaches no other, unless connections
- * are kept.
+ * lost or slow, and some orders arrive after their timeout, up to seconds late, and get no answer.
+ * As with the connections of the platform's adapter, an order that names an incarnation reaches no
+ * other, unless connections are kept.
  */
 final class OrderTransport {
     private static final long ANSWER_TIMEOUT_MS = 300;
     private static final int TASK_FAILURE_PERCENT = 2;
 
+    /** Share of the orders that cross a partition, which their answers don't, in percent. */
+    private static final int ONE_WAY_PERCENT = 25;
+
+    /** Late orders arrive after the sender's timeout, some while the lease they name still runs. */
+    private static final long MIN_LATE_MS = 300;
+
+    private static final long MAX_LATE_WITHIN_LEASE_MS = 1_100;
+    private static final long MAX_LATE_MS = 6_000;
+
     private final SimulatedClock mClock;
     private final SplittableRandom mRandom;
     private final NetworkDelays mDelays;
@@ -63,10 +72,10 @@
         boolean late = chance(mRates.mLateOrders);
         long timeoutMs = ANSWER_TIMEOUT_MS + Orders.waitMs(order);
         mClock.after(timeoutMs, () -> toController.accept(Orders.unanswered(order)));
-        if (target == null || partitioned.getAsBoolean()) {
+        if (target == null || partitioned.getAsBoolean() && !chance(ONE_WAY_PERCENT)) {
             return;
         }
-        long orderDelayMs = late ? 2_000 + mRandom.nextLong(4_000) : mDelays.peerMs();
+        long orderDelayMs = late ? lateMs() : mDelays.peerMs();
         long answerDelayMs =
                 chance(mRates.mSlowAnswers) ? 50 + mRandom.nextLong(200) : mDelays.peerMs();
         Consumer<CellEvent> answer =
@@ -78,12 +87,15 @@
         mClock.after(orderDelayMs, () -> arrive(target, order, late, answer));
     }
 
+    private long lateMs() {
+        long maxMs = mRandom.nextBoolean() ? MAX_LATE_WITHIN_LEASE_MS : MAX_LATE_MS;
+        return MIN_LATE_MS + mRandom.nextLong(maxMs - MIN_LATE_MS);
+    }
+
     private void arrive(
             FakeTarget target, CellAction order, boolean late, Consumer<CellEvent> answer) {
         if (!target.alive()) {
-            if (mPlatform.isTargetAliveAt(target.info().address())) {
-                answer.accept(Orders.failed(order, OrderResult.OTHER_INCARNATION));
-            }
+            rejectForOther(target, order, answer);
             return;
         }
         if (!mConnectionsOutlastTargets && isForOther(order, target)) {
@@ -97,6 +109,15 @@
         execute(target, order, answer);
     }
 
+    /** While no process listens at the address, its machine may refuse the connection. */
+    private void rejectForOther(FakeTarget target, CellAction order, Consumer<CellEvent> answer) {
+        if (mPlatform.isTargetAliveAt(target.info().address())) {
+            answer.accept(Orders.failed(order, OrderResult.OTHER_INCARNATION));
+        } else if (mRandom.nextBoolean()) {
+            answer.accept(Orders.failed(order, OrderResult.NOT_SENT));
+        }
+    }
+
     /** True if the connection on which the meant incarnation was identified has ended with it. */
     private static boolean isForOther(CellAction order, FakeTarget target) {
         long meant = Orders.target(order).incarnation();
@@ -112,7 +133,8 @@
             long runTimeMs = mRandom.nextInt(6) == 0 ? 1_500 : 30 + mRandom.nextInt(300);
             target.start(start, runTimeMs, chance(TASK_FAILURE_PERCENT), answer);
         } else {
-            target.stop((CellAction.StopRun) order, answer);
+            long stopTimeMs = mRandom.nextInt(FakeTarget.MAX_STOP_MS + 1);
+            target.stop((CellAction.StopRun) order, stopTimeMs, answer);
         }
     }
 }
