--- a/standin/src/main/java/org/boragegap/standin/CellTargetStandin.java
+++ b/standin/src/main/java/org/boragegap/standin/CellTargetStandin.java
@@ -44,7 +44,27 @@
         LATE
     }
 
-    private record Run(int number, long endsMs) {}
+    /** How a run ended that another run of its task has replaced on the same target. */
+    public static final String REPLACED = "replaced";
+
+    /**
+     * A run that has ended.
+     *
+     * @param fence fencing token of the order that started it
+     * @param beganMs when it began, on this process's monotonic clock, in ms
+     * @param endedMs when it ended, on the same clock
+     * @param cause how it ended
+     */
+    public record PastRun(
+            String task,
+            int number,
+            long fence,
+            String target,
+            long beganMs,
+            long endedMs,
+            String cause) {}
+
+    private record Run(int number, long fence, long beganMs, long endsMs) {}
 
     private record EndedRun(long cursor, String task, int run, String cause) {}
 
@@ -60,12 +80,15 @@
     private final Map<String, Integer> mHighestRuns = new HashMap<>();
     private final Map<String, Integer> mStarts = new HashMap<>();
     private final List<EndedRun> mEnded = new ArrayList<>();
+    private final List<PastRun> mPastRuns = new ArrayList<>();
     private final List<HeldCall> mHeldCalls = new ArrayList<>();
+    private final List<IncomingRequest> mLostCalls = new ArrayList<>();
     private long mFence;
     private long mLeaseEndMs;
     private long mNextCursor = 1;
     private int mMaxRunning;
     private AnswerMode mAnswerMode = AnswerMode.PROMPT;
+    private boolean mUnreachable;
 
     /** Start of this incarnation in Unix ms; 0 while it is not stated. */
     private long mIncarnation;
@@ -108,6 +131,7 @@
 
     @Override
     public void stop() {
+        unreachable(false);
         mEndpoint.stop();
     }
 
@@ -130,6 +154,7 @@
      * starts anew. Pending calls get no answer, and delayed orders are never carried out.
      */
     public synchronized void restart() {
+        mRunning.forEach((task, run) -> recordEnd(task, run, clockMs(), "lost"));
         mRunning.clear();
         mHighestRuns.clear();
         mEnded.clear();
@@ -168,6 +193,23 @@
         mAnswerMode = answerMode;
     }
 
+    /**
+     * Cuts this target off, or connects it again. Calls to a target that is cut off are not carried
+     * out, and get no answer before their connections are closed when it is connected again.
+     */
+    public synchronized void unreachable(boolean unreachable) {
+        mUnreachable = unreachable;
+        if (!unreachable) {
+            mLostCalls.forEach(IncomingRequest::drop);
+            mLostCalls.clear();
+        }
+    }
+
+    /** All runs that have ended so far, also those that were lost in a restart. */
+    public synchronized List<PastRun> pastRuns() {
+        return List.copyOf(mPastRuns);
+    }
+
     /** How often each task was started on this target. */
     public synchronized Map<String, Integer> starts() {
         return Map.copyOf(mStarts);
@@ -182,7 +224,17 @@
         return System.nanoTime() / 1_000_000 - mStartClockMs + CLOCK_OFFSET_MS;
     }
 
+    private synchronized boolean isLost(IncomingRequest request) {
+        if (mUnreachable) {
+            mLostCalls.add(request);
+        }
+        return mUnreachable;
+    }
+
     private void handle(IncomingRequest request) {
+        if (isLost(request)) {
+            return;
+        }
         if (request.header("Expect-Instance").filter(id -> !id.equals(mId)).isPresent()) {
             request.reply(OTHER_INCARNATION, "{}");
             return;
@@ -265,7 +317,11 @@
         }
         mHighestRuns.put(task, number);
         mStarts.merge(task, 1, Integer::sum);
-        mRunning.put(task, new Run(number, clockMs() + body.path("Spec").asLong()));
+        if (running != null) {
+            recordEnd(task, running, clockMs(), REPLACED);
+        }
+        long nowMs = clockMs();
+        mRunning.put(task, new Run(number, mFence, nowMs, nowMs + body.path("Spec").asLong()));
         mMaxRunning = Math.max(mMaxRunning, mRunning.size());
         return "";
     }
@@ -276,7 +332,7 @@
         mHighestRuns.merge(task, number, Math::max);
         Run running = mRunning.get(task);
         if (running != null && running.number() == number) {
-            endRun(task, running, "stopped");
+            endRun(task, running, clockMs(), "stopped");
         }
         return "";
     }
@@ -293,17 +349,32 @@
         for (String task : List.copyOf(mRunning.keySet())) {
             Run run = mRunning.get(task);
             if (leaseExpired || clockMs() >= run.endsMs()) {
-                endRun(task, run, leaseExpired ? "lapsed" : "done");
+                long endedMs = Math.min(run.endsMs(), leaseExpired ? mLeaseEndMs : clockMs());
+                endRun(task, run, endedMs, leaseExpired ? "lapsed" : "done");
             }
         }
         answerHeldCalls();
     }
 
-    private void endRun(String task, Run run, String cause) {
+    private void endRun(String task, Run run, long endedMs, String cause) {
         mRunning.remove(task);
+        recordEnd(task, run, endedMs, cause);
         mEnded.add(new EndedRun(mNextCursor++, task, run.number(), cause));
     }
 
+    private void recordEnd(String task, Run run, long endedMs, String cause) {
+        long offsetMs = CLOCK_OFFSET_MS - mStartClockMs;
+        mPastRuns.add(
+                new PastRun(
+                        task,
+                        run.number(),
+                        run.fence(),
+                        mId,
+                        run.beganMs() - offsetMs,
+                        endedMs - offsetMs,
+                        cause));
+    }
+
     private void answerHeldCalls() {
         for (HeldCall heldCall : List.copyOf(mHeldCalls)) {
             if (!mEnded.isEmpty() || clockMs() >= heldCall.untilMs()) {
--- a/standin/src/main/java/org/boragegap/standin/StoreStandin.java
+++ b/standin/src/main/java/org/boragegap/standin/StoreStandin.java
@@ -12,9 +12,12 @@
 import java.util.Arrays;
 import java.util.Base64;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.boragegap.http.HttpEndpoint;
@@ -25,7 +28,6 @@
 /** In-memory stand-in for the platform's store: keyed topics and one consumer group. */
 public final class StoreStandin implements Standin {
     private static final int MAX_BODY_BYTES = 1024 * 1024;
-    private static final int PARTITIONS = 12;
     private static final int OK = 200;
     private static final int GONE = 410;
     private static final int UNAVAILABLE = 503;
@@ -44,17 +46,10 @@
         }
     }
 
-    private static final class Member {
-        private long mLastJoinMs;
-        private long mLeaseMs;
-        private List<String> mTopics = List.of();
-    }
-
     private final HttpEndpoint mEndpoint;
     private final ScheduledExecutorService mTimer;
     private final Map<String, Topic> mTopics = new LinkedHashMap<>();
-    private final Map<String, Member> mMembers = new TreeMap<>();
-    private long mGeneration = 1;
+    private final ConsumerGroup mGroup = ConsumerGroup.create();
     private boolean mDown;
 
     private StoreStandin(String host, int port, ScheduledExecutorService timer) {
@@ -144,64 +139,60 @@
 
     // Consumer group
 
+    /** Reassigns all partitions of the group at once, without a request, in an order drawn here. */
+    public synchronized void reassignAtOnce(SplittableRandom random) {
+        mGroup.reassignAtOnce(random);
+    }
+
+    /**
+     * From now on each change of the group leaves some members without a partition, and so without
+     * a row in the list of owners, until they have joined with the new generation.
+     */
+    public synchronized void unassignMembersOnChange(SplittableRandom random) {
+        mGroup.unassignMembersOnChange(random);
+    }
+
+    /** Member that holds a partition, if any does. */
+    public synchronized Optional<String> holder(String topic, int part) {
+        return mGroup.holder(topic, part);
+    }
+
     private synchronized String join(JsonNode body) {
-        removeExpiredMembers();
-        String name = body.path("Member").asText();
-        Member member = mMembers.get(name);
-        if (member == null) {
-            member = new Member();
-            mMembers.put(name, member);
-            mGeneration++;
-        }
-        member.mLastJoinMs = nowMs();
-        member.mLeaseMs = body.path("TtlMs").asLong();
-        List<String> topics = new ArrayList<>();
+        Set<String> topics = new LinkedHashSet<>();
         body.path("Topics").forEach(topic -> topics.add(topic.asText()));
-        member.mTopics = topics;
+        ConsumerGroup.Assignment assignment =
+                mGroup.join(
+                        body.path("Member").asText(),
+                        topics,
+                        body.path("TtlMs").asLong(),
+                        body.path("Generation").asLong(),
+                        nowMs());
         ObjectNode answer = PlatformJson.object();
-        answer.put("Generation", mGeneration);
+        answer.put("Generation", assignment.generation());
         ArrayNode parts = answer.putArray("parts");
-        for (String topic : topics) {
-            for (int part = 0; part < PARTITIONS; part++) {
-                if (owner(topic, part).equals(name)) {
-                    parts.addArray().add(topic).add(part).add(0);
-                }
-            }
+        for (ConsumerGroup.Partition partition : assignment.partitions()) {
+            parts.addArray().add(partition.topic()).add(partition.number()).add(0);
         }
         return answer.toString();
     }
 
-    /** Assigns the partitions of a topic to its subscribers in turn. */
-    private String owner(String topic, int part) {
-        List<String> names =
-                mMembers.entrySet().stream()
-                        .filter(member -> member.getValue().mTopics.contains(topic))
-                        .map(Map.Entry::getKey)
-                        .toList();
-        return names.get(part % names.size());
-    }
-
     private synchronized String leave(JsonNode body) {
-        mMembers.remove(body.path("Member").asText());
-        mGeneration++;
+        mGroup.leave(body.path("Member").asText());
         return "{}";
     }
 
     private synchronized String owners() {
-        removeExpiredMembers();
         ObjectNode answer = PlatformJson.object();
         ArrayNode parts = answer.putArray("parts");
-        mMembers.keySet().forEach(name -> parts.addArray().add("cells").add(0).add(name).add(0));
-        return answer.toString();
-    }
-
-    private void removeExpiredMembers() {
-        boolean expired =
-                mMembers.values()
-                        .removeIf(member -> nowMs() - member.mLastJoinMs > member.mLeaseMs);
-        if (expired) {
-            mGeneration++;
+        for (ConsumerGroup.Row row : mGroup.owners(nowMs())) {
+            ConsumerGroup.Partition partition = row.partition();
+            parts.addArray()
+                    .add(partition.topic())
+                    .add(partition.number())
+                    .add(row.member())
+                    .add(0);
         }
+        return answer.toString();
     }
 
     private static long nowMs() {
