Soak: controllers of a cell killed and stopped in series, as processes

What callers saw: a task ran twice at the same time, each run started by another controller.

Six entry VMs run as processes against stand-ins of the store and ten targets. Controllers are killed and stopped, the store reassigns at once and lists some members late, targets are cut off; the series overlap. Targets and callers judge the run.

--- a/standin/src/main/java/org/boragegap/standin/ConsumerGroup.java
+++ b/standin/src/main/java/org/boragegap/standin/ConsumerGroup.java
@@ -22,7 +22,7 @@
     static final int PARTITIONS = 12;
 
     /** One in this many members holds nothing for a while after a change, if that is enabled. */
-    private static final int UNASSIGNED_ONE_IN = 4;
+    private static final int UNASSIGNED_ONE_IN = 2;
 
     /** A partition of a topic. */
     record Partition(String topic, int number) {}
