--- a/app/src/test/java/org/boragegap/app/ControllerChangeSoakTest.java
+++ b/app/src/test/java/org/boragegap/app/ControllerChangeSoakTest.java
@@ -32,7 +32,7 @@
     static LongStream seeds() {
         Long count = Long.getLong("boragegap.soak.seeds");
         if (count == null) {
-            return LongStream.of(8, 9);
+            return LongStream.of(2, 3, 9, 10);
         }
         long first = Long.getLong("boragegap.soak.first", 1);
         return LongStream.range(first, first + count);
