--- a/app/src/test/java/org/boragegap/app/CellProcesses.java
+++ b/app/src/test/java/org/boragegap/app/CellProcesses.java
@@ -69,10 +69,6 @@
             return mCallerAddress;
         }
 
-        String peerAddress() {
-            return mPeerAddress;
-        }
-
         private synchronized void startProcess() {
             if (mStopped) {
                 return;
--- a/app/src/test/java/org/boragegap/app/ControllerChangeSoakTest.java
+++ b/app/src/test/java/org/boragegap/app/ControllerChangeSoakTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.SplittableRandom;
@@ -17,6 +18,11 @@
  * The seed decides the faults and the jobs, but not the timing of the processes.
  */
 final class ControllerChangeSoakTest {
+    /**
+     * Directory that receives the logs of all seeds; if empty, only those of a failure are kept.
+     */
+    private static final String LOGS = System.getProperty("boragegap.soak.logs", "");
+
     private static final int ENTRY_VMS = 6;
     private static final long FAULTS_MS = 12_000;
     private static final long LAST_RUN_MS = 1_500;
@@ -61,8 +67,21 @@
         } finally {
             faults.stop();
             processes.stop();
+            callers.stop();
         }
         check(seed, directory, SoakFindings.of(callers.jobs(), processes.pastRuns()));
+        if (LOGS.isEmpty()) {
+            delete(directory);
+        }
+    }
+
+    private static void delete(Path directory) throws IOException {
+        try (var files = Files.list(directory)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+        Files.delete(directory);
     }
 
     private static void check(long seed, Path directory, SoakFindings findings) throws Exception {
@@ -82,11 +101,10 @@
     }
 
     private static Path directory(long seed) throws Exception {
-        String logs = System.getProperty("boragegap.soak.logs", "");
         Path directory =
-                logs.isEmpty()
+                LOGS.isEmpty()
                         ? Files.createTempDirectory("boragegap-soak")
-                        : Path.of(logs, "seed-" + seed + "-" + System.currentTimeMillis());
+                        : Path.of(LOGS, "seed-" + seed + "-" + System.currentTimeMillis());
         return Files.createDirectories(directory);
     }
 }
--- a/standin/src/main/java/org/boragegap/standin/ConsumerGroup.java
+++ b/standin/src/main/java/org/boragegap/standin/ConsumerGroup.java
@@ -21,7 +21,7 @@
     /** Number of partitions of each topic. */
     static final int PARTITIONS = 12;
 
-    /** One in this many members holds nothing for a while after a change, if that is enabled. */
+    /** One in this many members holds no partition after a change, if that is enabled. */
     private static final int UNASSIGNED_ONE_IN = 2;
 
     /** A partition of a topic. */
@@ -40,7 +40,7 @@
         private long mLeaseMs;
         private Set<String> mTopics = Set.of();
 
-        /** The member has no rows until it joins with this generation; 0 if it has rows. */
+        /** The member holds no partition until it joins with this generation; 0 if it does. */
         private long mUnassignedUntil;
     }
 
