A term waits for the group's lease before it takes earlier leases for expired

On layouts with weak VMs the group keeps a silent member for 3 s, and a controller that isn't told of its successor may act as long. A new term took the leases of targets that hadn't reported for expired 1,120 ms after its beginning, whatever the lease of the group: a task could run twice where the earlier controller still reached such a target. It now waits until no earlier controller can act. With the usual lease of 1 s nothing changes; a target's first report moves the end of earlier leases accordingly.

SettlementTest.isWaitedForUntilTheLeaseOfTheGroupHasExpired fails with the call that sets the lease taken out. Earlier ways that cost less need an earlier controller to give up after a second without the store's word, which moves the point at which its followers endorse it; not tried.

--- a/core/src/main/java/org/boragegap/core/cell/CellController.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -42,6 +42,7 @@
     private long mExclusiveUntilMs = Long.MAX_VALUE;
     private CellLayout mLayout = CellLayout.ofCells(1);
     private int mCell;
+    private long mGroupLeaseMs = LeaseManager.LEASE_MS;
     private Optional<LenderDirectory> mDirectory = Optional.empty();
 
     /** Loans of the term; empty if targets are neither lent nor borrowed. */
@@ -82,6 +83,11 @@
         mCell = cell;
     }
 
+    /** Sets how long the group keeps a silent member, in ms; the minimum without this call. */
+    void groupLeaseMs(long leaseMs) {
+        mGroupLeaseMs = leaseMs;
+    }
+
     /** Lends and borrows targets from the next term on. */
     void lendAndBorrow(LenderDirectory directory) {
         mDirectory = Optional.of(directory);
@@ -178,8 +184,9 @@
         mTerm = new Term(fence, clock.monotonicMs(), mEvacuations, mCrashes, mStarted, mRecords);
         mTerm.beginEvent(clock.monotonicMs(), actions);
         mTerm.exclusiveUntil(mExclusiveUntilMs);
+        mTerm.endEarlierTermsWithin(mGroupLeaseMs);
         mTerm.useSpeeds(CellSpeeds.create(mSettings.speedPlacement()));
-        mSettlement = new Settlement(mTerm, mSettings);
+        mSettlement = new Settlement(mTerm);
         mCrashDetector = new CrashDetector(mTerm);
         mRuns = new RunTracker(mTerm, mRunTimes, mCrashDetector);
         mLeases = new LeaseManager(mTerm, mRuns, mCrashDetector, () -> mNextCall++);
--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -49,6 +49,7 @@
         mPendingJobs = PendingJobs.create(mTiming, start);
         KnownRecords known = KnownRecords.create();
         mController = CellController.create(settings, known);
+        mController.groupLeaseMs(groupLeaseMs);
         mRecords = new StartRecordExchange(self, mPendingJobs, mController, known, start);
         mMembership = Membership.create(groupLeaseMs, start);
         mReplies = new HeartbeatReplies(mMembership, mPredecessors, mTargets);
--- a/core/src/main/java/org/boragegap/core/cell/LeaseManager.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseManager.java
@@ -314,6 +314,11 @@
 
     private void leaseExtended(Target target, LeaseCalls.Call call, TargetReport report) {
         boolean first = !target.reported();
+        if (first) {
+            // Earlier controllers may have extended the lease until this report.
+            target.earlierLeaseUntil(
+                    Math.min(mTerm.earlierLeaseEndMs(), mTerm.earlierTermsEndMs()));
+        }
         if (first && mTerm.mayHaveBeenLent() && target.loan().isEmpty()) {
             // A borrower may have extended its lease until the target saw this term's token.
             target.otherCellsLeaseUntil(mTerm.earlierLeaseEndMs());
--- a/core/src/main/java/org/boragegap/core/cell/Settlement.java
+++ b/core/src/main/java/org/boragegap/core/cell/Settlement.java
@@ -20,10 +20,9 @@
     }
 
     /**
-     * Added to the longest lease, as measured by a clock that is 2% slow, in ms. After that time in
-     * a term, nothing that an earlier controller started can still run on a target that has not
-     * reported. The margin covers an order that was in flight when the earlier controller gave up
-     * the cell.
+     * Added to the time at which the last lease of an earlier controller ends, in ms. After that,
+     * nothing that it started can still run on a target that has not reported. The margin covers an
+     * order that was in flight when the earlier controller gave up the cell.
      */
     private static final long SETTLE_MARGIN_MS = 100;
 
@@ -31,13 +30,11 @@
     private static final int MAX_LOGGED_TARGETS = 8;
 
     private final Term mTerm;
-    private final CellSettings mSettings;
     private boolean mPredecessorsKnown;
     private Evidence mEvidence = Evidence.NONE;
 
-    Settlement(Term term, CellSettings settings) {
+    Settlement(Term term) {
         mTerm = term;
-        mSettings = settings;
     }
 
     /** See {@link CellEvent.PredecessorsKnown}. */
@@ -76,10 +73,7 @@
     }
 
     private boolean leasesExpired() {
-        // Controllers never request a longer lease than this, even if a target would grant one.
-        long leaseMs = Math.min(mSettings.maxLeaseMs(), LeaseManager.LEASE_MS);
-        long settledAfterMs = (long) (leaseMs / Target.MIN_CLOCK_RATE) + SETTLE_MARGIN_MS;
-        return ageMs() > settledAfterMs;
+        return mTerm.nowMs() > mTerm.earlierTermsEndMs() + SETTLE_MARGIN_MS;
     }
 
     /**
--- a/core/src/main/java/org/boragegap/core/cell/Target.java
+++ b/core/src/main/java/org/boragegap/core/cell/Target.java
@@ -327,6 +327,11 @@
         mLeaseEndMs = Math.max(mLeaseEndMs, endMs);
     }
 
+    /** Records that an earlier controller may have extended the lease to the given time. */
+    void earlierLeaseUntil(long endMs) {
+        mLeaseEndMs = Math.max(mLeaseEndMs, endMs);
+    }
+
     /**
      * True when the leases of all runs on the target have expired, and orders still in flight will
      * be rejected.
--- a/core/src/main/java/org/boragegap/core/cell/Term.java
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -56,6 +56,7 @@
     private boolean mLendsTargets;
     private boolean mTargetsListed;
     private boolean mRunSeen;
+    private long mEarlierTermsEndMs;
     private long mAnswerLostMs = Long.MIN_VALUE / 2;
     private long mNowMs;
     private long mExclusiveUntilMs;
@@ -70,6 +71,7 @@
             KnownRecords records) {
         mFence = fence;
         mSinceMs = nowMs;
+        endEarlierTermsWithin(LeaseManager.LEASE_MS);
         mEvacuations = evacuations;
         mCrashes = crashes;
         mStarted = started;
@@ -108,6 +110,24 @@
         return mNowMs;
     }
 
+    /**
+     * Sets how long earlier controllers may act after the beginning of this term.
+     *
+     * @param groupLeaseMs how long the group keeps a silent member, in ms
+     */
+    void endEarlierTermsWithin(long groupLeaseMs) {
+        mEarlierTermsEndMs = mSinceMs + (long) (groupLeaseMs / Target.MIN_CLOCK_RATE);
+    }
+
+    /**
+     * The latest time at which an earlier controller may act, and at which its leases end. The
+     * group may assign the cell anew at once, and a controller that isn't told acts until the lease
+     * of its membership ends.
+     */
+    long earlierTermsEndMs() {
+        return mEarlierTermsEndMs;
+    }
+
     /** The latest time at which a lease that an earlier controller granted just now may end. */
     long earlierLeaseEndMs() {
         return mNowMs + (long) Math.ceil(LeaseManager.LEASE_MS / Target.MIN_CLOCK_RATE);
--- a/core/src/test/java/org/boragegap/core/cell/SettlementTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/SettlementTest.java
@@ -10,6 +10,7 @@
 /** When a term may start tasks beside those that earlier terms have started. */
 final class SettlementTest {
     private static final String JOB = "00000000000000d1";
+    private static final String LATER_JOB = "00000000000000d2";
     private static final TargetInfo FREE = ScriptedCell.target("t1", "x:1", "a", 1_000);
     private static final TargetInfo BUSY = ScriptedCell.target("t2", "x:2", "a", 1_000);
     private static final TaskName TASK = new TaskName(JOB, 0, 0, 0);
@@ -56,6 +57,22 @@
             assertThat(mCell.startedOn()).containsExactly("t1");
         }
 
+        /**
+         * Guards against a task that runs twice: the group keeps a silent member for 3 s, and an
+         * earlier controller that reaches the target extends its lease as long.
+         */
+        @Test
+        void isWaitedForUntilTheLeaseOfTheGroupHasExpired() {
+            mCell.controller().groupLeaseMs(3_000);
+            begin(FREE, BUSY);
+            mCell.ticks(10, 2_900);
+            mCell.offer(2_905, LATER_JOB, 1);
+            mCell.ticks(2_910, 3_100);
+            assertThat(mCell.starts()).isEmpty();
+            mCell.ticks(3_110, 3_200);
+            assertThat(mCell.startedOn()).containsExactly("t1");
+        }
+
         /** Guards against a lost connection that is taken for the end of what runs there. */
         @Test
         void isWaitedForWhenNoConnectionIsEstablished() {
