All histories play with the group as its protocol describes it

Callers of a history move to a class of their own, and the log entry on predecessors is built in one place.

--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -267,12 +267,8 @@
             return;
         }
         Predecessors.Knowledge knowledge = mPredecessors.known();
-        String inputs =
-                "fence="
-                        + mController.fence().orElse(0L)
-                        + " "
-                        + mPredecessors.inputs(peers, mClock.monotonicMs());
-        log(Decision.self("predecessors", inputs, knowledge.name()));
+        long fence = mController.fence().orElse(0L);
+        log(mPredecessors.decision(fence, peers, mClock.monotonicMs()));
         if (knowledge.isSufficient()) {
             toController(new CellEvent.PredecessorsKnown());
         }
--- a/core/src/main/java/org/boragegap/core/cell/Predecessors.java
+++ b/core/src/main/java/org/boragegap/core/cell/Predecessors.java
@@ -3,11 +3,11 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 
 /**
  * What the other entry VMs tell a new controller about earlier controllers: whether their tasks may
@@ -187,43 +187,56 @@
     }
 
     /**
-     * What the knowledge rests on, for the log: how many VMs were listed and have answered, those
-     * that haven't, and the last terms of those that had one.
+     * What is known and what it rests on, for the log: how many VMs were listed and have answered,
+     * those that haven't, and the last terms of those that had one.
      *
+     * @param fence fencing token of the term
      * @param peers the other entry VMs in the group
      */
-    String inputs(Set<String> peers, long nowMs) {
-        Set<String> unanswered = new TreeSet<>(peers);
-        unanswered.removeAll(mAnswered.keySet());
-        StringBuilder terms = new StringBuilder();
-        new TreeMap<>(mAnswered)
+    Decision decision(long fence, Set<String> peers, long nowMs) {
+        String inputs =
+                "fence="
+                        + fence
+                        + " term_age_ms="
+                        + (nowMs - mTermBeganMs)
+                        + " inherited_fence="
+                        + mInheritedFence
+                        + " own_last_fence="
+                        + mLastOwnFence
+                        + " vms="
+                        + peers.size()
+                        + " answered="
+                        + mAnswered.size()
+                        + " unanswered="
+                        + unanswered(peers)
+                        + " terms="
+                        + answeredTerms();
+        return Decision.self("predecessors", inputs, mKnown.name());
+    }
+
+    private List<String> unanswered(Set<String> peers) {
+        return peers.stream()
+                .filter(peer -> !mAnswered.containsKey(peer))
+                .sorted()
+                .limit(MAX_LOGGED_VMS)
+                .toList();
+    }
+
+    /** The latest terms of other VMs, the latest one first. */
+    private List<String> answeredTerms() {
+        return new TreeMap<>(mAnswered)
                 .entrySet().stream()
                         .filter(peer -> peer.getValue().lastOwnFence() != 0)
-                        .sorted(Comparator.comparingLong(peer -> -peer.getValue().lastOwnFence()))
+                        .sorted(Comparator.comparing(peer -> -peer.getValue().lastOwnFence()))
                         .limit(MAX_LOGGED_VMS)
-                        .forEach(
+                        .map(
                                 peer ->
-                                        terms.append(' ')
-                                                .append(peer.getKey())
-                                                .append("=fence:")
-                                                .append(peer.getValue().lastOwnFence())
-                                                .append(",ended_ago_ms:")
-                                                .append(peer.getValue().endedAgoMs()));
-        return "term_age_ms="
-                + (nowMs - mTermBeganMs)
-                + " inherited_fence="
-                + mInheritedFence
-                + " own_last_fence="
-                + mLastOwnFence
-                + " vms="
-                + peers.size()
-                + " answered="
-                + mAnswered.size()
-                + " unanswered="
-                + unanswered.stream().limit(MAX_LOGGED_VMS).toList()
-                + " terms=["
-                + terms.toString().strip()
-                + "]";
+                                        peer.getKey()
+                                                + "=fence:"
+                                                + peer.getValue().lastOwnFence()
+                                                + ",ended_ago_ms:"
+                                                + peer.getValue().endedAgoMs())
+                        .toList();
     }
 
     private boolean majoritySawNoOutage(Set<String> peers, boolean ownSawNoOutage) {
--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -12,7 +12,6 @@
  * again, and failures at random times. Everything runs on one simulated clock.
  */
 final class CellHistory {
-    static final long RESEND_MS = 1_300;
     private static final CellSettings SETTINGS = new CellSettings(FakeTarget.MAX_LEASE_MS, 2);
     private static final int VMS = 4;
     private static final long DURATION_MS = 14_000;
@@ -24,7 +23,6 @@
     private static final long OPERATORS_POLL_MS = 50;
     private static final long EVACUATION_LIMIT_MS = 5_000;
     private static final long EVACUATION_GOAL_MS = 300;
-    private static final long BUDGET_MS = 2_500;
     private static final long MAX_SERVE_ON_MS = 1_500;
 
     private final SplittableRandom mRandom;
@@ -35,7 +33,7 @@
     private final SimulatedClock mClock = new SimulatedClock();
     private final FakePlatform mPlatform;
     final OrderTransport mOrders;
-    private long mNextTicket = 1;
+    private final FakeCallers mCallers;
     private final TermStatistics mTerms = new TermStatistics();
     private final HistoryTrace mTrace;
     private boolean mStoreDown;
@@ -63,6 +61,7 @@
         mPlatform = new FakePlatform(mClock, mRandom, mInvariants, trace);
         mOrders =
                 new OrderTransport(mClock, mRandom, mDelays, mRates, mPlatform, mInvariants, trace);
+        mCallers = new FakeCallers(mClock, mRandom, mInvariants, mVms, this::feed);
         for (int i = 0; i < VMS; i++) {
             FakeEntryVm vm = new FakeEntryVm("vm" + i);
             mVms.add(vm);
@@ -71,16 +70,9 @@
     }
 
     /**
-     * Simulates the usual failures while the group takes all freedoms that its protocol leaves it.
+     * Simulates the usual failures while VMs are stopped as planned or killed one after the other.
      */
-    List<String> playReassignments() {
-        mGroup.useAllFreedoms();
-        return play();
-    }
-
-    /** Same, while VMs are stopped as planned or killed one after the other. */
     List<String> playReassignmentsAndRestarts() {
-        mGroup.useAllFreedoms();
         for (long at = 2_000; at < FAULTS_UNTIL_MS; at += 400 + mRandom.nextInt(1_200)) {
             FakeEntryVm vm = mVms.get(mRandom.nextInt(VMS));
             boolean planned = mRandom.nextBoolean();
@@ -198,7 +190,7 @@
         after(5, mPlatform::begin);
         for (long at = 1_500; at < FAULTS_UNTIL_MS; at += 30 + mRandom.nextInt(90)) {
             int job = (int) at;
-            after(at, () -> submit(FakeJobs.request(mRandom, job)));
+            after(at, () -> mCallers.submit(FakeJobs.request(mRandom, job)));
         }
     }
 
@@ -375,7 +367,7 @@
         } else if (action instanceof MemberAction.Order order) {
             order(vm, incarnation, order.order());
         } else if (action instanceof MemberAction.Reply reply) {
-            replied(vm, reply.reply());
+            mCallers.replied(vm, reply.reply());
         } else if (action instanceof MemberAction.WatchTargets watch) {
             if (watch.watch()) {
                 mTerms.recordTerm(vm.mAddress);
@@ -420,32 +412,6 @@
         feed(vm, incarnation, new MemberEvent.ForController(event));
     }
 
-    // Callers
-
-    private void submit(JobRequest request) {
-        FakeEntryVm vm = mVms.get(mRandom.nextInt(VMS));
-        mInvariants.submitted(request.id());
-        if (!vm.mAlive) {
-            after(RESEND_MS, () -> submit(request));
-            return;
-        }
-        long ticket = mNextTicket++;
-        vm.mCallers.put(ticket, request);
-        EntryEvent event = new EntryEvent.Submitted(ticket, request, BUDGET_MS);
-        feed(vm, vm.mIncarnation, new MemberEvent.ForPendingJobs(event));
-    }
-
-    private void replied(FakeEntryVm vm, EntryAction.Reply reply) {
-        JobRequest request = vm.mCallers.remove(reply.ticket());
-        if (request == null) {
-            return;
-        }
-        mInvariants.answered(request, reply.verdict());
-        if (reply.verdict() instanceof Verdict.InDoubt) {
-            after(RESEND_MS, () -> submit(request));
-        }
-    }
-
     // Failures
 
     private void injectFault() {
@@ -482,8 +448,7 @@
             return;
         }
         vm.mAlive = false;
-        List<JobRequest> interrupted = new ArrayList<>(vm.mCallers.values());
-        interrupted.forEach(request -> after(RESEND_MS, () -> submit(request)));
+        mCallers.connectionsLost(vm);
         after(downMs, () -> start(vm));
     }
 
--- a/core/src/test/java/org/boragegap/core/cell/FakeGroup.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeGroup.java
@@ -14,8 +14,8 @@
  * The store's group with one partition for the cell, according to the platform's protocol. Each
  * member also holds partitions by which it is listed.
  *
- * <p>The protocol lets the group assign partitions anew at once, without a join of their owner, and
- * list no row for a member that holds none for a moment; {@link #useAllFreedoms} makes it do so.
+ * <p>As the protocol allows, it assigns partitions anew at once now and then, without a join of
+ * their owner, and lists no row for a member that holds none for a moment.
  */
 final class FakeGroup {
     static final long LEASE_MS = 1_000;
@@ -31,7 +31,6 @@
     private long mGeneration = 1;
     private long mNextOwnerGeneration;
     private final long mLeaseMs;
-    private boolean mUsesAllFreedoms;
 
     /** Members that hold no partition, each until it has joined with a generation. */
     private final Map<String, Long> mUnlistedBeforeGeneration = new HashMap<>();
@@ -46,11 +45,6 @@
         mLeaseMs = leaseMs;
     }
 
-    /** Does from now on whatever the protocol allows. */
-    void useAllFreedoms() {
-        mUsesAllFreedoms = true;
-    }
-
     long leaseMs() {
         return mLeaseMs;
     }
@@ -116,7 +110,7 @@
     /** Begins a generation, in which a member may hold no partition until it has joined with it. */
     private void nextGeneration() {
         mGeneration++;
-        if (mUsesAllFreedoms && !mMembers.isEmpty() && mRandom.nextBoolean()) {
+        if (!mMembers.isEmpty() && mRandom.nextBoolean()) {
             List<String> members = new ArrayList<>(mMembers.keySet());
             String unlisted = members.get(mRandom.nextInt(members.size()));
             mUnlistedBeforeGeneration.put(unlisted, mGeneration);
@@ -126,7 +120,7 @@
     /**
      * Selects a random candidate as the next owner of the partition. From then on the current owner
      * no longer holds it; the next one gets it once the current one has confirmed the new
-     * generation or is gone, or at once if the group takes that freedom.
+     * generation or is gone, or at once.
      */
     void rebalance() {
         if (mMembers.isEmpty()) {
@@ -138,7 +132,7 @@
         }
         mNextOwner = candidates.get(mRandom.nextInt(candidates.size()));
         nextGeneration();
-        if (mUsesAllFreedoms && mRandom.nextBoolean()) {
+        if (mRandom.nextBoolean()) {
             mOwner = mNextOwner;
             mNextOwner = "";
             return;
--- a/core/src/test/java/org/boragegap/core/cell/HistoryKind.java
+++ b/core/src/test/java/org/boragegap/core/cell/HistoryKind.java
@@ -8,7 +8,6 @@
 enum HistoryKind {
     USUAL(CellHistory::play),
     SLOW_STORE(CellHistory::playSlowStore),
-    REASSIGNMENTS(CellHistory::playReassignments),
     REASSIGNMENTS_AND_RESTARTS(CellHistory::playReassignmentsAndRestarts),
 
     /** With the lease that layouts with weak VMs ask the group for. */
--- a/core/src/test/java/org/boragegap/core/cell/LoanHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/LoanHistory.java
@@ -286,7 +286,7 @@
         FakeEntryVm vm = mVms.get(mRandom.nextInt(VMS));
         mInvariants.submitted(request.id());
         if (!vm.mAlive) {
-            after(CellHistory.RESEND_MS, () -> submit(request));
+            after(FakeCallers.RESEND_MS, () -> submit(request));
             return;
         }
         long ticket = mNextTicket++;
@@ -296,7 +296,7 @@
         feed(vm, vm.mIncarnation, cell, new MemberEvent.ForPendingJobs(event));
         int incarnation = vm.mIncarnation;
         after(
-                BUDGET_MS + CellHistory.RESEND_MS,
+                BUDGET_MS + FakeCallers.RESEND_MS,
                 () -> {
                     boolean restarted = vm.mIncarnation != incarnation || !vm.mAlive;
                     if (restarted && mCallers.remove(ticket) != null) {
@@ -312,7 +312,7 @@
         }
         mInvariants.answered(request, reply.verdict());
         if (reply.verdict() instanceof Verdict.InDoubt) {
-            after(CellHistory.RESEND_MS, () -> submit(request));
+            after(FakeCallers.RESEND_MS, () -> submit(request));
         }
     }
 
