An unheard target isn't forgotten while earlier controllers may act

A target that the platform's list misses was forgotten after 2.5 s, also when it had not reported to the term. With a group lease of 3 s a term then took all targets for heard, while an earlier controller could extend the lease of that one: its task could run twice. Found by review; SettlementTest. isWaitedForIfItIsNoLongerListed fails without this change. The test of the long lease let its first target fall silent and didn't see the start it waits for; it reports now.

--- a/core/src/main/java/org/boragegap/core/cell/LeaseManager.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseManager.java
@@ -452,7 +452,8 @@
                 mRuns.releaseAll(target, "lease expired");
             }
             boolean gone = target.unlistedFor(mTerm.nowMs(), UNLISTED_GRACE_MS);
-            if (gone && target.runs().isEmpty()) {
+            boolean asked = target.reported() || mTerm.earlierTermsOver();
+            if (gone && asked && target.runs().isEmpty()) {
                 mTerm.log(Decision.target("forget", target.id(), "listed=no", "not in use"));
                 mTerm.targets().remove(target.id());
             } else {
--- a/core/src/main/java/org/boragegap/core/cell/Settlement.java
+++ b/core/src/main/java/org/boragegap/core/cell/Settlement.java
@@ -19,13 +19,6 @@
         LEASES_EXPIRED
     }
 
-    /**
-     * Added to the time at which the last lease of an earlier controller ends, in ms. After that,
-     * nothing that it started can still run on a target that has not reported. The margin covers an
-     * order that was in flight when the earlier controller gave up the cell.
-     */
-    private static final long SETTLE_MARGIN_MS = 100;
-
     /** Maximum number of targets that a log entry names. */
     private static final int MAX_LOGGED_TARGETS = 8;
 
@@ -65,17 +58,13 @@
         if (mPredecessorsKnown && allReported()) {
             return Evidence.TARGETS_REPORTED;
         }
-        return leasesExpired() ? Evidence.LEASES_EXPIRED : Evidence.NONE;
+        return mTerm.earlierTermsOver() ? Evidence.LEASES_EXPIRED : Evidence.NONE;
     }
 
     private long ageMs() {
         return mTerm.nowMs() - mTerm.sinceMs();
     }
 
-    private boolean leasesExpired() {
-        return mTerm.nowMs() > mTerm.earlierTermsEndMs() + SETTLE_MARGIN_MS;
-    }
-
     /**
      * True when each target has reported in this term: those that the last known controller has
      * announced and those on the platform's list. The announced ones alone may lack targets of a
--- a/core/src/main/java/org/boragegap/core/cell/Term.java
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -33,6 +33,9 @@
      */
     record LentTarget(TargetInfo info, double speed) {}
 
+    /** Allowance for an order that an earlier controller sent at the end of its term, in ms. */
+    private static final long ORDER_IN_FLIGHT_MS = 100;
+
     private record ExpectedSuccessor(TargetInfo replaced, long sinceMs) {}
 
     private final long mFence;
@@ -128,6 +131,14 @@
         return mEarlierTermsEndMs;
     }
 
+    /**
+     * True when nothing that an earlier controller started can still run on a target that has not
+     * reported.
+     */
+    boolean earlierTermsOver() {
+        return mNowMs > mEarlierTermsEndMs + ORDER_IN_FLIGHT_MS;
+    }
+
     /** The latest time at which a lease that an earlier controller granted just now may end. */
     long earlierLeaseEndMs() {
         return mNowMs + (long) Math.ceil(LeaseManager.LEASE_MS / Target.MIN_CLOCK_RATE);
--- a/core/src/test/java/org/boragegap/core/cell/SettlementTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/SettlementTest.java
@@ -66,6 +66,25 @@
             mCell.controller().groupLeaseMs(3_000);
             begin(FREE, BUSY);
             mCell.ticks(10, 2_900);
+            mCell.report(2_902, "t1", List.of(), List.of());
+            mCell.offer(2_905, LATER_JOB, 1);
+            mCell.ticks(2_910, 3_100);
+            assertThat(mCell.starts()).isEmpty();
+            mCell.ticks(3_110, 3_200);
+            assertThat(mCell.startedOn()).containsExactly("t1");
+        }
+
+        /**
+         * Guards against a task that runs twice: the target was taken off the platform's list, and
+         * forgotten before the leases of earlier controllers had expired.
+         */
+        @Test
+        void isWaitedForIfItIsNoLongerListed() {
+            mCell.controller().groupLeaseMs(3_000);
+            begin(FREE, BUSY);
+            mCell.listed(6, FREE);
+            mCell.ticks(10, 2_900);
+            mCell.report(2_902, "t1", List.of(), List.of());
             mCell.offer(2_905, LATER_JOB, 1);
             mCell.ticks(2_910, 3_100);
             assertThat(mCell.starts()).isEmpty();
@@ -80,6 +99,8 @@
             mCell.refused(8, "t2");
             mCell.ticks(10, 1_120);
             assertThat(mCell.starts()).isEmpty();
+            mCell.ticks(1_130, 1_130);
+            assertThat(mCell.startedOn()).containsExactly("t1");
         }
 
         /**
