--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -121,8 +121,7 @@
 
     /**
      * True when this VM may leave the group. After giving up the cell it has to stay until its
-     * leases have expired, so that the next controller learns of its term and can compare the lists
-     * of targets.
+     * leases have expired, so that the next controller learns of its term.
      */
     public boolean mayLeave(ClockReading clock) {
         return mPredecessors.ownLeasesExpired(clock.monotonicMs());
