--- a/core/src/main/java/org/boragegap/core/cell/Membership.java
+++ b/core/src/main/java/org/boragegap/core/cell/Membership.java
@@ -85,8 +85,9 @@
      * joins or is dropped the group rebalances, and often names the same holder again a moment
      * later. When the term was ended and begun again, it had to wait for a second until earlier
      * leases had expired. If another VM is assigned the cell, its first heartbeat ends this term.
-     * If that VM is not heard it can do no harm: the authority of this VM ends one lease after the
-     * last answer that named it, and the other VM waits for that.
+     * If that VM is not heard, the authority of this VM ends one lease after the last answer that
+     * named it, and the other VM waits for that. This doesn't cover a cell that is given back to
+     * this VM meanwhile.
      *
      * @param generation generation of the group
      * @param holds true when the cell is assigned to this VM
--- a/core/src/main/java/org/boragegap/core/cell/Predecessors.java
+++ b/core/src/main/java/org/boragegap/core/cell/Predecessors.java
@@ -2,7 +2,6 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -169,20 +168,17 @@
         if (mFirstMembers.isEmpty()) {
             return Knowledge.AWAITS_ANSWERS;
         }
-        Set<String> asked = new HashSet<>(mFirstMembers.get());
-        if (!mAnswered.keySet().containsAll(asked)) {
+        if (!mAnswered.keySet().containsAll(mFirstMembers.get())) {
             return Knowledge.AWAITS_ANSWERS;
         }
-        // A VM that the list misses for a moment has answered all the same.
-        asked.addAll(mAnswered.keySet());
-        if (!majoritySawNoOutage(asked, sawNoOutage)) {
+        // All answers count: the list may miss a VM for a moment.
+        if (!majoritySawNoOutage(sawNoOutage)) {
             return Knowledge.STORE_WAS_AWAY;
         }
         boolean expired = ownLeasesExpired(nowMs);
         boolean ownKnown = mLastOwnFence == mInheritedFence && !mLastOwnTermBorrowed;
         boolean targetsKnown = expired || ownKnown;
-        for (String peer : asked) {
-            CellMessage.HeartbeatReply answer = mAnswered.get(peer);
+        for (CellMessage.HeartbeatReply answer : mAnswered.values()) {
             boolean peerExpired = leasesExpired(answer.lastOwnFence(), answer.endedAgoMs());
             expired &= peerExpired;
             boolean known = answer.lastOwnFence() == mInheritedFence && !answer.borrowed();
@@ -262,12 +258,12 @@
                         .toList();
     }
 
-    private boolean majoritySawNoOutage(Set<String> peers, boolean ownSawNoOutage) {
+    private boolean majoritySawNoOutage(boolean ownSawNoOutage) {
         int sawNoOutage = ownSawNoOutage ? 1 : 0;
-        for (String peer : peers) {
-            sawNoOutage += mAnswered.get(peer).sawNoOutage() ? 1 : 0;
+        for (CellMessage.HeartbeatReply answer : mAnswered.values()) {
+            sawNoOutage += answer.sawNoOutage() ? 1 : 0;
         }
-        return 2 * sawNoOutage > peers.size() + 1;
+        return 2 * sawNoOutage > mAnswered.size() + 1;
     }
 
     private static boolean leasesExpired(long fence, long endedAgoMs) {
--- a/core/src/test/java/org/boragegap/core/cell/SettlementTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/SettlementTest.java
@@ -35,6 +35,17 @@
         mCell.report(ms, target, List.of(run), List.of());
     }
 
+    /** Offers a job late enough that it still waits when the lease ends. */
+    private void assertStartsOnlyAfterALeaseOf3S() {
+        mCell.ticks(10, 2_900);
+        mCell.report(2_902, "t1", List.of(), List.of());
+        mCell.offer(2_905, LATER_JOB, 1);
+        mCell.ticks(2_910, 3_100);
+        assertThat(mCell.starts()).isEmpty();
+        mCell.ticks(3_110, 3_200);
+        assertThat(mCell.startedOn()).containsExactly("t1");
+    }
+
     @Nested
     class TargetThatHasNotReported {
         /** Guards against a task that runs twice, under an earlier controller and this one. */
@@ -65,13 +76,7 @@
         void isWaitedForUntilTheLeaseOfTheGroupHasExpired() {
             mCell.controller().groupLeaseMs(3_000);
             begin(FREE, BUSY);
-            mCell.ticks(10, 2_900);
-            mCell.report(2_902, "t1", List.of(), List.of());
-            mCell.offer(2_905, LATER_JOB, 1);
-            mCell.ticks(2_910, 3_100);
-            assertThat(mCell.starts()).isEmpty();
-            mCell.ticks(3_110, 3_200);
-            assertThat(mCell.startedOn()).containsExactly("t1");
+            assertStartsOnlyAfterALeaseOf3S();
         }
 
         /**
@@ -83,13 +88,7 @@
             mCell.controller().groupLeaseMs(3_000);
             begin(FREE, BUSY);
             mCell.listed(6, FREE);
-            mCell.ticks(10, 2_900);
-            mCell.report(2_902, "t1", List.of(), List.of());
-            mCell.offer(2_905, LATER_JOB, 1);
-            mCell.ticks(2_910, 3_100);
-            assertThat(mCell.starts()).isEmpty();
-            mCell.ticks(3_110, 3_200);
-            assertThat(mCell.startedOn()).containsExactly("t1");
+            assertStartsOnlyAfterALeaseOf3S();
         }
 
         /** Guards against a lost connection that is taken for the end of what runs there. */
