Make the store of the review's scripts answer every call

The stand-in of a zone's path to the store called the project's stand-in over connections that it kept open, and some of these calls were never answered (see case 2): controllers lost their terms in runs without a disruption. Each call has a connection of its own now.

--- a/review/stand-ins/Deployment.java
+++ b/review/stand-ins/Deployment.java
@@ -1,5 +1,4 @@
-import com.sun.net.httpserver.HttpExchange;
-import com.sun.net.httpserver.HttpServer;
+import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -23,12 +22,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.boragegap.http.HttpEndpoint;
+import org.boragegap.http.IncomingRequest;
 import org.boragegap.standin.CellTargetStandin;
 import org.boragegap.standin.StoreStandin;
 
@@ -45,6 +48,10 @@
     static final String SERVICE = "connect-desk";
     private static final String HOST = "127.0.0.1";
     private static final Pattern ADDRESS = Pattern.compile("127\\.0\\.0\\.\\d:(\\d{5})");
+    private static final Set<Integer> PORTS = ConcurrentHashMap.newKeySet();
+    private static final int MAX_BODY_BYTES = 1024 * 1024;
+    private static final List<String> QUERY_NAMES =
+            List.of("Topic", "part", "From", "WaitMs", "MaxFetchKb", "At", "group", "DependsOn");
     private static final long READY_TIMEOUT_MS = 40_000;
 
     /** A machine of the system. */
@@ -115,9 +122,18 @@
             return holder.filter(member -> member.startsWith(HOST + ":" + peer + "/")).isPresent();
         }
 
-        /** Stops the process as planned work does, by SIGTERM, and starts it again. */
-        void restart() throws Exception {
+        int callerPort() {
+            return caller;
+        }
+
+        /** Sends SIGTERM, as planned work does. */
+        void terminate() {
             process.destroy();
+        }
+
+        /** Stops the process as planned work does and starts it again. */
+        void restart() throws Exception {
+            terminate();
             process.waitFor();
             start(false);
             awaitReady();
@@ -173,7 +189,9 @@
     private final int zones;
     private final int storePort = port();
     private final StoreStandin store;
-    private final List<HttpServer> storeFronts = new ArrayList<>();
+    private final List<HttpEndpoint> storeFronts = new ArrayList<>();
+    private final List<Integer> storeFrontPorts = new ArrayList<>();
+    private final ExecutorService forwarders = Executors.newCachedThreadPool();
     private final List<ServerSocket> proxies = new ArrayList<>();
     private final Map<Integer, Integer> homeZones = new ConcurrentHashMap<>();
     private final List<Vm> vms = new ArrayList<>();
@@ -187,7 +205,8 @@
         store = StoreStandin.create(HOST, storePort, timer);
         store.start();
         for (int zone = 0; zone < zones; zone++) {
-            storeFronts.add(storeFront(zone));
+            storeFrontPorts.add(port());
+            storeFronts.add(storeFront(zone, storeFrontPorts.get(zone)));
         }
         Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
     }
@@ -202,12 +221,16 @@
         throw new IllegalStateException("no command in deploy/system.toml");
     }
 
-    /** A free port of five digits. */
+    /** A free port of five digits that no other part of the deployment has. */
     private static int port() {
         while (true) {
+            int port = 12_000 + (int) (Math.random() * 20_000);
+            if (!PORTS.add(port)) {
+                continue;
+            }
+            // Only loopback addresses are used, so only these have to be free.
             try (ServerSocket socket = new ServerSocket()) {
-                int port = 20_000 + (int) (Math.random() * 12_000);
-                socket.bind(new InetSocketAddress("0.0.0.0", port));
+                socket.bind(new InetSocketAddress(HOST, port));
                 return port;
             } catch (IOException e) {
                 // It is in use.
@@ -224,7 +247,7 @@
     }
 
     private String storeAddress(int zone) {
-        return HOST + ":" + storeFronts.get(zone).getAddress().getPort();
+        return HOST + ":" + storeFrontPorts.get(zone);
     }
 
     StoreStandin store() {
@@ -307,49 +330,69 @@
 
     // The store, as a zone sees it
 
-    private HttpServer storeFront(int zone) throws IOException {
-        HttpServer server = HttpServer.create(new InetSocketAddress(HOST, port()), 0);
-        server.setExecutor(Executors.newCachedThreadPool());
-        server.createContext("/", exchange -> forward(zone, exchange));
-        server.start();
-        return server;
+    private HttpEndpoint storeFront(int zone, int port) throws IOException {
+        HttpEndpoint front =
+                HttpEndpoint.create(
+                        "store-" + zone,
+                        HOST,
+                        port,
+                        MAX_BODY_BYTES,
+                        request -> forwarders.execute(() -> forward(zone, request)));
+        front.start();
+        return front;
     }
 
-    private void forward(int zone, HttpExchange exchange) throws IOException {
-        byte[] body = exchange.getRequestBody().readAllBytes();
-        if (cutZone == zone) {
-            awaitEndOfCut(zone);
-            exchange.close();
-            return;
+    private void forward(int zone, IncomingRequest request) {
+        List<String> query = new ArrayList<>();
+        for (String name : QUERY_NAMES) {
+            request.query(name).ifPresent(value -> query.add(name + "=" + value));
         }
-        HttpRequest request =
-                HttpRequest.newBuilder(
-                                URI.create("http://" + HOST + ":" + storePort + exchange.getRequestURI()))
-                        .method(
-                                exchange.getRequestMethod(),
-                                HttpRequest.BodyPublishers.ofByteArray(body))
-                        .build();
         try {
-            HttpResponse<byte[]> response =
-                    http.send(request, HttpResponse.BodyHandlers.ofByteArray());
-            byte[] answer = translate(zone, exchange.getRequestURI().getPath(), response.body());
-            if (cutZone == zone) {
-                awaitEndOfCut(zone);
-                exchange.close();
-                return;
+            awaitEndOfCut(zone, request);
+            StoreAnswer answer =
+                    callStore(request, request.path() + "?" + String.join("&", query));
+            awaitEndOfCut(zone, request);
+            request.reply(answer.status, translate(zone, request.path(), answer.body));
+        } catch (IOException e) {
+            request.drop();
+        }
+    }
+
+    private record StoreAnswer(int status, byte[] body) {}
+
+    /** Calls the store over a connection of its own, with the whole request in one segment. */
+    private StoreAnswer callStore(IncomingRequest request, String uri) throws IOException {
+        try (Socket socket = new Socket(HOST, storePort)) {
+            socket.setTcpNoDelay(true);
+            String head =
+                    request.method() + " " + uri + " HTTP/1.1\r\nHost: " + HOST
+                            + "\r\nConnection: close\r\nContent-Length: "
+                            + request.body().length + "\r\n\r\n";
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            bytes.write(head.getBytes(StandardCharsets.ISO_8859_1));
+            bytes.write(request.body());
+            socket.getOutputStream().write(bytes.toByteArray());
+            byte[] answer = socket.getInputStream().readAllBytes();
+            String text = new String(answer, StandardCharsets.ISO_8859_1);
+            int headEnd = text.indexOf("\r\n\r\n");
+            if (headEnd < 0) {
+                throw new IOException("no answer of the store");
             }
-            exchange.sendResponseHeaders(response.statusCode(), answer.length == 0 ? -1 : answer.length);
-            exchange.getResponseBody().write(answer);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            return new StoreAnswer(
+                    Integer.parseInt(text.substring(9, 12)),
+                    Arrays.copyOfRange(answer, headEnd + 4, answer.length));
         }
-        exchange.close();
     }
 
-    private void awaitEndOfCut(int zone) {
+    /** Holds a call during a cut; it is lost with its connection when the cut ends. */
+    private void awaitEndOfCut(int zone, IncomingRequest request) throws IOException {
+        if (cutZone != zone) {
+            return;
+        }
         while (cutZone == zone && !closed) {
             sleep(10);
         }
+        throw new IOException("the call was lost in a cut");
     }
 
     private byte[] translate(int zone, String path, byte[] body) {
@@ -499,7 +542,8 @@
         }
         closed = true;
         minions.values().forEach(CellTargetStandin::stop);
-        storeFronts.forEach(front -> front.stop(0));
+        storeFronts.forEach(HttpEndpoint::stop);
+        forwarders.shutdownNow();
         for (ServerSocket proxy : proxies) {
             proxy.close();
         }
