--- a/review/stand-ins/Unanswered.java
+++ b/review/stand-ins/Unanswered.java
@@ -19,7 +19,7 @@
  */
 final class Unanswered {
     /** Time between the head and the body of a POST, in ms. */
-    private static final long BODY_AFTER_MS = 5;
+    private static final long BODY_AFTER_MS = 20;
 
     private static final long BUDGET_MS = 10_000;
 
