Keep nothing but the cases as folders of the review

The stand-in that the scripts share lies beside build.sh, each script's own program in the folder of its case, and the classes are compiled to target/review.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-test -f review/target/classes/Unanswered.class || exit 2
-exec java -cp review/target/classes:app/target/boragegap.jar Unanswered review/2/record.txt
+test -f target/review/Unanswered.class || exit 2
+exec java -cp target/review:app/target/boragegap.jar Unanswered review/2/record.txt
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,5 @@
 set -e
 cd "$(dirname "$0")/.."
 test -f app/target/boragegap.jar || mvn -B -q -DskipTests package
-mkdir -p review/target/classes
-javac -d review/target/classes -cp app/target/boragegap.jar review/stand-ins/*.java
+mkdir -p target/review
+javac -d target/review -cp app/target/boragegap.jar review/Deployment.java review/[123]/*.java
