Log what a controller's authority rests on, and who deposed it

Callers of review/1 saw tasks run twice, under two controllers. The logs had no line between the moment when the earlier one lost the store and the end of its term, and its line `deposed` gave its own token as that of the later term: a target that rejects an order for a later token doesn't tell which one, and the highest token that the VM had heard was logged in its place.

New line `authority`, whenever the authority of a controller changes between the store, the other VMs and nobody: age of the last confirmed renewal, VMs that count, those that haven't endorsed it. `deposed` has the own token, the later one or `unknown`, and the VM or target that told it.

--- a/core/src/main/java/org/boragegap/core/cell/CellAction.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellAction.java
@@ -93,8 +93,12 @@
      */
     record SendLoan(String address, int cell, CellMessage message) implements CellAction {}
 
-    /** Another controller has taken over: this VM has to find out which one. */
-    record Deposed() implements CellAction {}
+    /**
+     * Another controller has taken over: this VM has to find out which one.
+     *
+     * @param target id of the target that has seen its fencing token
+     */
+    record Deposed(String target) implements CellAction {}
 
     /**
      * Writes one log line.
--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -32,6 +32,7 @@
 
     private final Deque<MemberEvent> mLocalEvents = new ArrayDeque<>();
     private final Followers mFollowers = new Followers();
+    private final ControllerAuthority mAuthority;
     private final LatestTargetList mTargets = new LatestTargetList();
     private final Predecessors mPredecessors = new Predecessors();
     private final HeartbeatReplies mReplies;
@@ -52,6 +53,7 @@
         mController.groupLeaseMs(groupLeaseMs);
         mRecords = new StartRecordExchange(self, mPendingJobs, mController, known, start);
         mMembership = Membership.create(groupLeaseMs, start);
+        mAuthority = new ControllerAuthority(mMembership, mFollowers);
         mReplies = new HeartbeatReplies(mMembership, mPredecessors, mTargets);
         mSearch = new ControllerSearch(self, cell, mMembership, mPendingJobs, mFollowers, mTiming);
     }
@@ -293,7 +295,7 @@
         mFollowers.addPeer(from, mClock.monotonicMs());
         mSearch.recordMissingNotice(from, missing.strength(), mClock);
         if (isLaterTerm(missing.fence())) {
-            deposed(missing.fence());
+            deposed(missing.fence(), from);
         }
         mController
                 .fence()
@@ -309,7 +311,7 @@
     private void tick() {
         long nowMs = mClock.monotonicMs();
         mPendingJobs.compensateForStall(mHeartbeats.recordTick(nowMs, mTiming.tickMs()), nowMs);
-        mMembership.tick(mClock, quorumHeartbeat());
+        mAuthority.update(mController.fence(), mClock).ifPresent(this::log);
         updateTerm();
         searchController();
         if (mController.fence().isPresent()) {
@@ -349,11 +351,6 @@
         return new CellMessage.Heartbeat(fence, mClock, periodMs, lendable);
     }
 
-    /** Last heartbeat that a majority endorsed; empty while this VM reaches the store itself. */
-    private Optional<ClockReading> quorumHeartbeat() {
-        return mMembership.storeSilent(mClock) ? mFollowers.endorsed(mClock) : Optional.empty();
-    }
-
     // Messages
 
     private void received(String from, CellMessage message) {
@@ -398,7 +395,7 @@
 
     private void heartbeatReceived(String from, CellMessage.Heartbeat heartbeat) {
         if (isLaterTerm(heartbeat.fence())) {
-            deposed(heartbeat.fence());
+            deposed(heartbeat.fence(), from);
         }
         mLenders.heard(from, heartbeat, mClock);
         for (CellMessage records : mRecords.toController(heartbeat.fence(), mClock)) {
@@ -419,7 +416,7 @@
         mFollowers.addPeer(from, mClock.monotonicMs());
         Optional<Long> own = mController.fence();
         if (isLaterTerm(reply.fence())) {
-            deposed(reply.fence());
+            deposed(reply.fence(), from);
         } else if (own.filter(fence -> fence > reply.fence()).isPresent()) {
             mActions.add(new MemberAction.Send(from, heartbeat(own.get())));
         } else if (mController.fence().filter(f -> f == reply.fence()).isPresent()) {
@@ -435,8 +432,9 @@
         return mController.fence().filter(own -> own < fence).isPresent();
     }
 
-    private void deposed(long fence) {
-        log(Decision.self("deposed", "later_fence=" + fence, "ends its term"));
+    /** Ends the term; see {@link ControllerAuthority#deposed}. */
+    private void deposed(long highest, String from) {
+        log(ControllerAuthority.deposed(mController.fence().orElse(0L), highest, from));
         mMembership.deposed();
         updateTerm();
     }
@@ -461,8 +459,8 @@
             broadcast(new CellMessage.Crashed(crash.task(), crash.target(), crash.evidence()));
         } else if (action instanceof CellAction.SendLoan loan) {
             mActions.add(new MemberAction.SendToCell(loan.address(), loan.cell(), loan.message()));
-        } else if (action instanceof CellAction.Deposed) {
-            deposed(mPendingJobs.fence());
+        } else if (action instanceof CellAction.Deposed deposed) {
+            deposed(mPendingJobs.fence(), deposed.target());
         } else if (action instanceof CellAction.Log log) {
             log(log.decision());
         } else {
--- a/core/src/main/java/org/boragegap/core/cell/Followers.java
+++ b/core/src/main/java/org/boragegap/core/cell/Followers.java
@@ -99,15 +99,30 @@
         return one.monotonicMs() >= other.monotonicMs() ? one : other;
     }
 
+    /** The VMs that count towards the majority, sorted. */
+    Set<String> counted() {
+        Set<String> all = new TreeSet<>(mLastListedMs.keySet());
+        all.addAll(mPeers);
+        return all;
+    }
+
+    /** The counted VMs that have endorsed no heartbeat sent since a time, sorted. */
+    List<String> notEndorsedSince(long ms) {
+        return counted().stream()
+                .filter(
+                        peer ->
+                                !mEndorsements.containsKey(peer)
+                                        || mEndorsements.get(peer).monotonicMs() < ms)
+                .toList();
+    }
+
     /**
      * The latest heartbeat that a majority of all VMs, including this one, has endorsed.
      *
      * @param now the clock; a VM without peers endorses itself
      */
     Optional<ClockReading> endorsed(ClockReading now) {
-        Set<String> all = new HashSet<>(mLastListedMs.keySet());
-        all.addAll(mPeers);
-        int needed = (all.size() + 1) / 2;
+        int needed = (counted().size() + 1) / 2;
         if (needed == 0) {
             return Optional.of(now);
         }
--- a/core/src/main/java/org/boragegap/core/cell/LeaseManager.java
+++ b/core/src/main/java/org/boragegap/core/cell/LeaseManager.java
@@ -184,7 +184,7 @@
      */
     boolean fenced(Target target) {
         if (target.loan().isEmpty()) {
-            mTerm.emit(new CellAction.Deposed());
+            mTerm.emit(new CellAction.Deposed(target.id()));
             return false;
         }
         BorrowedTarget loan = target.loan().get();
--- a/core/src/main/java/org/boragegap/core/cell/Membership.java
+++ b/core/src/main/java/org/boragegap/core/cell/Membership.java
@@ -191,8 +191,32 @@
      * costs one join.
      */
     public long exclusiveUntilMs(ClockReading clock) {
-        long heldUntilMs = mLastHeldRenewal.map(held -> leaseEndMs(held, clock)).orElse(0L);
-        return Math.max(heldUntilMs, quorumLeaseEndMs(clock));
+        return Math.max(heldUntilMs(clock), quorumLeaseEndMs(clock));
+    }
+
+    /** Who makes sure that no other VM controls the cell. */
+    enum Authority {
+        /** The store has named this VM as the holder within a lease. */
+        STORE,
+
+        /** The other VMs have endorsed this VM within a lease. */
+        FOLLOWERS,
+
+        /** Nobody; another VM may control the cell. */
+        NONE
+    }
+
+    /** What this VM's control of the cell rests on now. */
+    Authority authority(ClockReading clock) {
+        if (clock.monotonicMs() <= heldUntilMs(clock)) {
+            return Authority.STORE;
+        }
+        boolean endorsed = clock.monotonicMs() <= quorumLeaseEndMs(clock);
+        return endorsed ? Authority.FOLLOWERS : Authority.NONE;
+    }
+
+    private long heldUntilMs(ClockReading clock) {
+        return mLastHeldRenewal.map(held -> leaseEndMs(held, clock)).orElse(0L);
     }
 
     /**
