A controller without the store acts only while every VM follows it

Cause: "a majority can't reach the store, so it is unavailable to all" was concluded about VMs that weren't heard. The store asks no majority before it assigns the cell. The later controller's wait for a lease of the group is right for any authority that the store or a VM can end, but an endorsement by others went on for as long as the cut.

Now each VM that counts must have answered as a follower within the lease, besides the majority that has lost the store. A VM that has been assigned the cell no longer answers as a follower, and what it answered before lasts for a lease from then, which its own wait covers. So no later term can take anything for ended while an earlier one acts. VMs that a list misses for a moment are sent heartbeats and lists of targets for as long as they count, or one missing row would end the cell's service in an outage.

The histories had no cut between groups of VMs. They have now (kind ZONE_CUTS: seven VMs, zones of any size, cuts that move at once).

This one ends the service of a cell during an outage of the store in which a VM is silent for over a second.

--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -340,7 +340,7 @@
     }
 
     private void broadcast(CellMessage message) {
-        for (String peer : mFollowers.peers()) {
+        for (String peer : mFollowers.counted()) {
             mActions.add(new MemberAction.Send(peer, message));
         }
     }
--- a/core/src/main/java/org/boragegap/core/cell/ControllerAuthority.java
+++ b/core/src/main/java/org/boragegap/core/cell/ControllerAuthority.java
@@ -27,15 +27,15 @@
      * @return a log entry if the authority now rests on something else
      */
     Optional<Decision> update(Optional<Long> fence, ClockReading clock) {
-        mMembership.tick(clock, quorumHeartbeat(clock));
+        mMembership.tick(clock, endorsedHeartbeat(clock));
         Membership.Authority authority = mMembership.authority(clock);
         Membership.Authority before = mLogged;
         mLogged = fence.isPresent() ? authority : Membership.Authority.STORE;
         return before == mLogged ? Optional.empty() : fence.map(f -> decision(f, clock));
     }
 
-    /** Last heartbeat that a majority endorsed; empty while this VM reaches the store itself. */
-    private Optional<ClockReading> quorumHeartbeat(ClockReading clock) {
+    /** Last heartbeat that was endorsed; empty while this VM reaches the store itself. */
+    private Optional<ClockReading> endorsedHeartbeat(ClockReading clock) {
         return mMembership.storeSilent(clock) ? mFollowers.endorsed(clock) : Optional.empty();
     }
 
@@ -54,7 +54,8 @@
 
     private Decision decision(long fence, ClockReading clock) {
         long heldMs = mMembership.lastHeld().map(ClockReading::monotonicMs).orElse(0L);
-        List<String> silent = mFollowers.notEndorsedSince(heldMs);
+        List<String> silent = mFollowers.unansweredSince(heldMs);
+        List<String> unendorsed = mFollowers.notEndorsedSince(heldMs);
         String inputs =
                 "fence="
                         + fence
@@ -63,6 +64,8 @@
                         + " vms="
                         + mFollowers.counted().size()
                         + " not_endorsed="
+                        + unendorsed.size()
+                        + " silent="
                         + silent.size()
                         + " among_them="
                         + silent.stream().limit(MAX_LOGGED_VMS).toList();
--- a/core/src/main/java/org/boragegap/core/cell/Followers.java
+++ b/core/src/main/java/org/boragegap/core/cell/Followers.java
@@ -1,6 +1,5 @@
 package org.boragegap.core.cell;
 
-import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -15,28 +14,41 @@
 import org.boragegap.core.ClockReading;
 
 /**
- * The other entry VMs, and their endorsements of this controller. A follower that can't reach the
- * store endorses the controller, so that it may act without the store.
+ * The other entry VMs, and their endorsements of this controller, by which it may act without the
+ * store.
  *
- * <p>Each endorsement extends the controller's authority for one lease, counted on the controller's
+ * <p>It may do so while every VM that counts follows it, and a majority can't reach the store
+ * either. All must follow, since the store asks no majority before it assigns the cell: a VM that
+ * isn't heard may have been assigned it. A VM that has been assigned the cell follows no earlier
+ * controller, and waits for a lease of the group before it takes what it hasn't heard of for ended.
+ * The majority tells an outage of the store from a controller that has lost it alone, which a VM in
+ * touch replaces.
+ *
+ * <p>Each answer extends the controller's authority for one lease, counted on the controller's
  * clock from the heartbeat that was answered. So a follower knows when its last endorsement has
  * expired, however long the answer took to arrive: one lease after it was given.
  */
 final class Followers {
     /**
-     * How long a VM that the group no longer lists still counts towards the majority, in ms. Guards
-     * against a partition that leaves half of the VMs with the controller while one of the other
-     * half restarts: by the list alone its side was a majority, and it acted alongside the
-     * controller to which the store had assigned the cell meanwhile.
+     * How long a VM that the group no longer lists still counts, in ms. The group drops a silent VM
+     * after a lease, though it may only be cut off, and may reach the store again before the
+     * controller's VM does.
      */
     private static final long DELISTED_COUNTS_MS = 10_000;
 
+    /** The last heartbeat that each VM has answered as a follower. */
+    private final Map<String, ClockReading> mAnswered = new HashMap<>();
+
+    /** The last heartbeat that each VM has answered as a follower without the store. */
     private final Map<String, ClockReading> mEndorsements = new HashMap<>();
+
     private final Map<String, Long> mLastListedMs = new HashMap<>();
 
-    /** Sorted, so that the order of broadcasts is the same in each process. */
     private SortedSet<String> mPeers = Collections.emptySortedSet();
 
+    /** Sorted, so that the order of broadcasts is the same in each process. */
+    private SortedSet<String> mCounted = Collections.emptySortedSet();
+
     private OptionalLong mFirstListedMs = OptionalLong.empty();
 
     /** Peer addresses of the other entry VMs, sorted. */
@@ -62,7 +74,9 @@
         mPeers = sorted(peers);
         peers.forEach(peer -> mLastListedMs.put(peer, nowMs));
         mLastListedMs.values().removeIf(ms -> nowMs - ms > DELISTED_COUNTS_MS);
-        mEndorsements.keySet().retainAll(peers);
+        mCounted = sorted(mLastListedMs.keySet());
+        mAnswered.keySet().retainAll(mCounted);
+        mEndorsements.keySet().retainAll(mCounted);
     }
 
     /**
@@ -75,7 +89,9 @@
             peers.add(peer);
             mPeers = sorted(peers);
         }
-        mLastListedMs.put(peer, nowMs);
+        if (mLastListedMs.put(peer, nowMs) == null) {
+            mCounted = sorted(mLastListedMs.keySet());
+        }
     }
 
     private static SortedSet<String> sorted(Set<String> peers) {
@@ -90,6 +106,7 @@
      * @param heartbeat when that heartbeat was sent
      */
     void answered(String peer, boolean storeSilent, ClockReading heartbeat) {
+        mAnswered.merge(peer, heartbeat, Followers::later);
         if (storeSilent) {
             mEndorsements.merge(peer, heartbeat, Followers::later);
         }
@@ -99,38 +116,57 @@
         return one.monotonicMs() >= other.monotonicMs() ? one : other;
     }
 
-    /** The VMs that count towards the majority, sorted. */
+    /**
+     * The VMs that may be assigned the cell: those listed, heard, or listed until recently. Sorted.
+     */
     Set<String> counted() {
-        Set<String> all = new TreeSet<>(mLastListedMs.keySet());
-        all.addAll(mPeers);
-        return all;
+        return mCounted;
+    }
+
+    /** The counted VMs that have answered no heartbeat sent since a time, sorted. */
+    List<String> unansweredSince(long ms) {
+        return missingIn(mAnswered, ms);
     }
 
     /** The counted VMs that have endorsed no heartbeat sent since a time, sorted. */
     List<String> notEndorsedSince(long ms) {
-        return counted().stream()
+        return missingIn(mEndorsements, ms);
+    }
+
+    private List<String> missingIn(Map<String, ClockReading> heartbeats, long sinceMs) {
+        return mCounted.stream()
                 .filter(
                         peer ->
-                                !mEndorsements.containsKey(peer)
-                                        || mEndorsements.get(peer).monotonicMs() < ms)
+                                !heartbeats.containsKey(peer)
+                                        || heartbeats.get(peer).monotonicMs() < sinceMs)
                 .toList();
     }
 
     /**
-     * The latest heartbeat that a majority of all VMs, including this one, has endorsed.
+     * The latest heartbeat that lets this controller act without the store for a lease.
      *
      * @param now the clock; a VM without peers endorses itself
      */
     Optional<ClockReading> endorsed(ClockReading now) {
-        int needed = (counted().size() + 1) / 2;
+        int needed = (mCounted.size() + 1) / 2;
         if (needed == 0) {
             return Optional.of(now);
         }
-        List<ClockReading> endorsements = new ArrayList<>(mEndorsements.values());
-        if (endorsements.size() < needed) {
+        if (mAnswered.size() < mCounted.size() || mEndorsements.size() < needed) {
             return Optional.empty();
         }
-        endorsements.sort(Comparator.comparingLong(ClockReading::monotonicMs).reversed());
-        return Optional.of(endorsements.get(needed - 1));
+        ClockReading byMajority = latestFirst(mEndorsements).get(needed - 1);
+        ClockReading byAll = latestFirst(mAnswered).get(mCounted.size() - 1);
+        return Optional.of(earlier(byMajority, byAll));
+    }
+
+    private static List<ClockReading> latestFirst(Map<String, ClockReading> heartbeats) {
+        return heartbeats.values().stream()
+                .sorted(Comparator.comparingLong(ClockReading::monotonicMs).reversed())
+                .toList();
+    }
+
+    private static ClockReading earlier(ClockReading one, ClockReading other) {
+        return one.monotonicMs() <= other.monotonicMs() ? one : other;
     }
 }
--- a/core/src/main/java/org/boragegap/core/cell/Membership.java
+++ b/core/src/main/java/org/boragegap/core/cell/Membership.java
@@ -8,8 +8,8 @@
  *
  * <p>The store assigns the cell to one member of the group. A member that was not heard for a lease
  * is dropped, so a VM whose renewals fail must assume that another VM controls the cell by then. It
- * may continue only while a majority of entry VMs follows it and can't join either: then the store
- * is unavailable to all, no other VM can be assigned the cell, and running tasks continue.
+ * may continue only while all other VMs follow it, so that none of them has been assigned the cell,
+ * and a majority can't join either; see {@link Followers}.
  */
 public final class Membership {
     /** Number of terms that one VM can begin under one generation of the group. */
@@ -44,8 +44,8 @@
     /** When the last join was sent whose answer named this VM as the holder. */
     private Optional<ClockReading> mLastHeldRenewal = Optional.empty();
 
-    /** The last heartbeat that a majority has endorsed; its lease expires by itself. */
-    private Optional<ClockReading> mQuorumHeartbeat = Optional.empty();
+    /** The last heartbeat that the other VMs have endorsed; its lease expires by itself. */
+    private Optional<ClockReading> mEndorsedHeartbeat = Optional.empty();
 
     private long mJoinedMs = -1;
     private long mLastOutageMs;
@@ -140,8 +140,8 @@
      * Until when the endorsements of others let this VM act without the store, in ms; 0 if they
      * don't.
      */
-    private long quorumLeaseEndMs(ClockReading clock) {
-        return mQuorumHeartbeat.map(heartbeat -> leaseEndMs(heartbeat, clock)).orElse(0L);
+    private long endorsementEndMs(ClockReading clock) {
+        return mEndorsedHeartbeat.map(heartbeat -> leaseEndMs(heartbeat, clock)).orElse(0L);
     }
 
     /** This VM leaves the group and no longer takes the cell. */
@@ -169,12 +169,12 @@
      * Ends the term if the membership may have expired.
      *
      * @param clock the current time
-     * @param quorumHeartbeat when this VM sent the last heartbeat that a majority of entry VMs has
-     *     answered as followers that can't join either; empty if there is none
+     * @param endorsedHeartbeat when this VM sent the last heartbeat by which the other VMs let it
+     *     act without the store; empty if there is none
      */
-    public void tick(ClockReading clock, Optional<ClockReading> quorumHeartbeat) {
-        if (quorumHeartbeat.isPresent()) {
-            mQuorumHeartbeat = quorumHeartbeat;
+    public void tick(ClockReading clock, Optional<ClockReading> endorsedHeartbeat) {
+        if (endorsedHeartbeat.isPresent()) {
+            mEndorsedHeartbeat = endorsedHeartbeat;
         }
         if (mFence != 0 && clock.monotonicMs() > exclusiveUntilMs(clock)) {
             mFence = 0;
@@ -191,7 +191,7 @@
      * costs one join.
      */
     public long exclusiveUntilMs(ClockReading clock) {
-        return Math.max(heldUntilMs(clock), quorumLeaseEndMs(clock));
+        return Math.max(heldUntilMs(clock), endorsementEndMs(clock));
     }
 
     /** Who makes sure that no other VM controls the cell. */
@@ -211,7 +211,7 @@
         if (clock.monotonicMs() <= heldUntilMs(clock)) {
             return Authority.STORE;
         }
-        boolean endorsed = clock.monotonicMs() <= quorumLeaseEndMs(clock);
+        boolean endorsed = clock.monotonicMs() <= endorsementEndMs(clock);
         return endorsed ? Authority.FOLLOWERS : Authority.NONE;
     }
 
--- a/core/src/test/java/org/boragegap/core/cell/AuthorityLogTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/AuthorityLogTest.java
@@ -67,7 +67,7 @@
             feed(LEASE_MS + 25, new MemberEvent.Ticked());
             Decision line = logged("authority").get(0);
             assertThat(line.outcome()).isEqualTo("NONE");
-            assertThat(line.inputs()).endsWith("not_endorsed=2 among_them=[vm2, vm3]");
+            assertThat(line.inputs()).endsWith("not_endorsed=2 silent=2 among_them=[vm2, vm3]");
         }
     }
 
--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -14,6 +14,12 @@
 final class CellHistory {
     private static final CellSettings SETTINGS = new CellSettings(FakeTarget.MAX_LEASE_MS, 2);
     private static final int VMS = 4;
+
+    /** VMs of a history in which zones are cut off. */
+    private static final int ZONED_VMS = 7;
+
+    private static final long MIN_OUTAGE_MS = 2_400;
+    private static final long MAX_OUTAGE_MS = 6_000;
     private static final long DURATION_MS = 14_000;
     private static final long FAULTS_UNTIL_MS = 10_000;
     private static final long JOIN_INTERVAL_MS = 250;
@@ -23,7 +29,6 @@
     private static final long OPERATORS_POLL_MS = 50;
     private static final long EVACUATION_LIMIT_MS = 5_000;
     private static final long EVACUATION_GOAL_MS = 300;
-    private static final long MAX_SERVE_ON_MS = 1_500;
 
     private final SplittableRandom mRandom;
     private final NetworkDelays mDelays;
@@ -34,9 +39,11 @@
     private final FakePlatform mPlatform;
     final OrderTransport mOrders;
     private final FakeCallers mCallers;
+    private final PlannedStops mStops;
+    private final FakeNetwork mNetwork;
+    private final VmLosses mLosses;
     private final TermStatistics mTerms = new TermStatistics();
     private final HistoryTrace mTrace;
-    private boolean mStoreDown;
     private final FaultRates mRates = new FaultRates();
 
     CellHistory(long seed) {
@@ -54,6 +61,10 @@
      * @param groupLeaseMs how long the group keeps a silent member, in ms
      */
     CellHistory(long seed, HistoryTrace trace, long groupLeaseMs) {
+        this(seed, trace, groupLeaseMs, VMS);
+    }
+
+    private CellHistory(long seed, HistoryTrace trace, long groupLeaseMs, int vms) {
         mTrace = trace;
         mRandom = new SplittableRandom(seed);
         mDelays = new NetworkDelays(mRandom);
@@ -62,11 +73,44 @@
         mOrders =
                 new OrderTransport(mClock, mRandom, mDelays, mRates, mPlatform, mInvariants, trace);
         mCallers = new FakeCallers(mClock, mRandom, mInvariants, mVms, this::feed);
-        for (int i = 0; i < VMS; i++) {
-            FakeEntryVm vm = new FakeEntryVm("vm" + i);
-            mVms.add(vm);
-            start(vm);
+        for (int i = 0; i < vms; i++) {
+            mVms.add(new FakeEntryVm("vm" + i));
         }
+        mStops = new PlannedStops(mClock, mRandom, this::feed, this::leave);
+        List<String> addresses = new ArrayList<>(mPlatform.addresses());
+        mVms.forEach(vm -> addresses.add(vm.mAddress));
+        mNetwork = new FakeNetwork(mClock, mRandom, trace, addresses);
+        mLosses = new VmLosses(mClock, mRandom, mVms, this::kill);
+        mVms.forEach(this::start);
+    }
+
+    /** Creates a history with enough VMs for zones of different sizes. */
+    static CellHistory withZones(long seed, HistoryTrace trace) {
+        return new CellHistory(seed, trace, FakeGroup.LEASE_MS, ZONED_VMS);
+    }
+
+    /** Simulates the usual failures while zones are cut off, with any share of the VMs. */
+    List<String> playZoneCuts() {
+        mNetwork.scheduleZoneCuts(1_700, FAULTS_UNTIL_MS);
+        return play();
+    }
+
+    /** Simulates outages of the store in which some VMs are lost, without any other failure. */
+    List<String> playOutagesWithLosses() {
+        long beginMs = 2_000 + mRandom.nextLong(2_000);
+        long endMs = beginMs + MIN_OUTAGE_MS + mRandom.nextLong(MAX_OUTAGE_MS - MIN_OUTAGE_MS);
+        after(beginMs, () -> mNetwork.storeOutage(endMs - beginMs));
+        mLosses.scheduleFew(beginMs, endMs);
+        scheduleJobs();
+        return run();
+    }
+
+    /** Simulates the loss of most VMs and some targets at once, without any other failure. */
+    List<String> playMassLosses() {
+        mLosses.scheduleMost(2_000, 6_000);
+        mPlatform.scheduleMassCrashes(2_000, 6_000);
+        scheduleJobs();
+        return run();
     }
 
     /**
@@ -74,14 +118,14 @@
      */
     List<String> playReassignmentsAndRestarts() {
         for (long at = 2_000; at < FAULTS_UNTIL_MS; at += 400 + mRandom.nextInt(1_200)) {
-            FakeEntryVm vm = mVms.get(mRandom.nextInt(VMS));
+            FakeEntryVm vm = mVms.get(mRandom.nextInt(mVms.size()));
             boolean planned = mRandom.nextBoolean();
             long downMs = 300 + mRandom.nextLong(700);
             after(
                     at,
                     () -> {
                         if (planned) {
-                            stopAsPlanned(vm);
+                            mStops.stop(vm);
                         } else {
                             kill(vm, downMs);
                         }
@@ -99,9 +143,8 @@
     /** Simulates a rolling restart of all VMs without any other failure. */
     List<String> playRollingRestart() {
         scheduleJobs();
-        for (int i = 0; i < VMS; i++) {
-            FakeEntryVm vm = mVms.get(i);
-            after(2_000 + i * 2_000L, () -> stopAsPlanned(vm));
+        for (FakeEntryVm vm : mVms) {
+            after(2_000 + mVms.indexOf(vm) * 2_000L, () -> mStops.stop(vm));
         }
         return run();
     }
@@ -273,7 +316,7 @@
                     if (again) {
                         after(JOIN_INTERVAL_MS, () -> join(vm, incarnation, true));
                     }
-                    if (!mStoreDown && !vm.mStoreLost) {
+                    if (mNetwork.reachesStore(vm)) {
                         ClockReading sent = clock(vm);
                         boolean wants = vm.mMember.wantsCell();
                         after(mDelays.storeMs(), () -> joinAtStore(vm, incarnation, wants, sent));
@@ -304,7 +347,7 @@
 
     /** Polls what operators have written, one read at a time. */
     private void pollOperators(FakeEntryVm vm, int incarnation) {
-        boolean read = !mStoreDown && !vm.mStoreLost;
+        boolean read = mNetwork.reachesStore(vm);
         inIncarnation(
                 vm,
                 incarnation,
@@ -328,7 +371,7 @@
     }
 
     private void readMembers(FakeEntryVm vm, int incarnation) {
-        if (mStoreDown || vm.mStoreLost) {
+        if (!mNetwork.reachesStore(vm)) {
             return;
         }
         long sentMs = clock(vm).monotonicMs();
@@ -349,7 +392,7 @@
                 incarnation,
                 () -> {
                     after(TARGETS_POLL_MS, () -> pollTargets(vm, incarnation));
-                    if (!mStoreDown && !vm.mStoreLost && vm.mWatchesTargets) {
+                    if (mNetwork.reachesStore(vm) && vm.mWatchesTargets) {
                         after(mDelays.peerMs(), () -> feedTargets(vm, incarnation));
                     }
                 });
@@ -373,7 +416,7 @@
                 mTerms.recordTerm(vm.mAddress);
             }
             vm.mWatchesTargets = watch.watch();
-            if (watch.watch() && !mStoreDown && !vm.mStoreLost) {
+            if (watch.watch() && mNetwork.reachesStore(vm)) {
                 after(2 * mDelays.peerMs(), () -> feedTargets(vm, incarnation));
             }
         } else if (action instanceof MemberAction.ReadMembers) {
@@ -387,10 +430,7 @@
         FakeEntryVm to =
                 mVms.stream().filter(vm -> vm.mAddress.equals(send.address())).findFirst().get();
         int incarnation = to.mIncarnation;
-        boolean disconnected =
-                from.mDisconnectedFrom.contains(to.mAddress)
-                        || to.mDisconnectedFrom.contains(from.mAddress);
-        if (!disconnected) {
+        if (mNetwork.connects(from, to)) {
             MemberEvent event = new MemberEvent.Received(from.mAddress, send.message());
             long delayMs =
                     chance(mRates.mLateMessages) ? 300 + mRandom.nextLong(1_500) : mDelays.peerMs();
@@ -401,11 +441,10 @@
     // Orders
 
     private void order(FakeEntryVm vm, int incarnation, CellAction order) {
-        mOrders.send(order, () -> isDisconnected(vm, order), e -> feedControl(vm, incarnation, e));
-    }
-
-    private static boolean isDisconnected(FakeEntryVm vm, CellAction order) {
-        return vm.mDisconnectedFrom.contains(Orders.target(order).id());
+        mOrders.send(
+                order,
+                () -> !mNetwork.connects(vm, Orders.target(order)),
+                e -> feedControl(vm, incarnation, e));
     }
 
     private void feedControl(FakeEntryVm vm, int incarnation, CellEvent event) {
@@ -415,22 +454,22 @@
     // Failures
 
     private void injectFault() {
-        FakeEntryVm vm = mVms.get(mRandom.nextInt(VMS));
+        FakeEntryVm vm = mVms.get(mRandom.nextInt(mVms.size()));
         long forMs = 200 + mRandom.nextLong(3_500);
         int kind = mRandom.nextInt(15);
         mTrace.record(mClock.nowMs(), vm.mAddress, "failure " + kind + " for " + forMs);
         switch (kind) {
             case 0, 1 -> kill(vm, 300 + mRandom.nextLong(1_500));
             case 2 -> vm.pause(mClock, forMs);
-            case 3 -> during(forMs, () -> vm.mStoreLost = true, () -> vm.mStoreLost = false);
-            case 4 -> during(forMs, () -> disconnect(vm), vm.mDisconnectedFrom::clear);
-            case 5 -> during(forMs, () -> mStoreDown = true, () -> mStoreDown = false);
+            case 3 -> mNetwork.rejectByStore(vm, forMs);
+            case 4 -> mNetwork.disconnect(vm, mVms, mPlatform::randomTargets, forMs);
+            case 5 -> mNetwork.storeOutage(forMs);
             case 6 -> during(forMs, () -> mRates.mLostAnswers = 20, () -> mRates.mLostAnswers = 0);
             case 7 -> during(forMs, () -> mRates.mLateOrders = 10, () -> mRates.mLateOrders = 0);
             case 8 -> mPlatform.crashOne();
             case 9 -> mGroup.rebalance();
             case 10 -> mPlatform.unlistSome(forMs);
-            case 12 -> stopAsPlanned(vm);
+            case 12 -> mStops.stop(vm);
             case 11 ->
                     during(forMs, () -> mRates.mLateMessages = 30, () -> mRates.mLateMessages = 0);
             case 13 -> during(forMs, () -> mRates.mSlowAnswers = 40, () -> mRates.mSlowAnswers = 0);
@@ -452,48 +491,11 @@
         after(downMs, () -> start(vm));
     }
 
-    /**
-     * Gives up the cell, answers waiting callers, leaves the group when allowed, and starts again.
-     */
-    private void stopAsPlanned(FakeEntryVm vm) {
-        if (vm.mAlive && mClock.nowMs() >= vm.mPausedUntilMs) {
-            int incarnation = vm.mIncarnation;
-            feed(vm, incarnation, new MemberEvent.Resigned());
-            after(mRandom.nextLong(MAX_SERVE_ON_MS), () -> close(vm, incarnation));
+    /** Ends a VM that is stopped as planned; it starts again. */
+    private void leave(FakeEntryVm vm) {
+        if (mNetwork.reachesStore(vm)) {
+            mGroup.leave(vm.member());
         }
-    }
-
-    private void close(FakeEntryVm vm, int incarnation) {
-        feed(vm, incarnation, new MemberEvent.Draining());
-        leaveWhenDrained(vm, incarnation);
-    }
-
-    private void leaveWhenDrained(FakeEntryVm vm, int incarnation) {
-        inIncarnation(
-                vm,
-                incarnation,
-                () -> {
-                    boolean drained =
-                            vm.mMember.waitingCallers() == 0 && vm.mMember.mayLeave(clock(vm));
-                    if (!drained) {
-                        after(TICK_INTERVAL_MS, () -> leaveWhenDrained(vm, incarnation));
-                        return;
-                    }
-                    if (!mStoreDown && !vm.mStoreLost) {
-                        mGroup.leave(vm.member());
-                    }
-                    kill(vm, 500);
-                });
-    }
-
-    private void disconnect(FakeEntryVm vm) {
-        boolean all = mRandom.nextBoolean();
-        mVms.forEach(
-                other -> {
-                    if (other != vm && (all || mRandom.nextBoolean())) {
-                        vm.mDisconnectedFrom.add(other.mAddress);
-                    }
-                });
-        vm.mDisconnectedFrom.addAll(mPlatform.randomTargets());
+        kill(vm, PlannedStops.DOWN_MS);
     }
 }
--- a/core/src/test/java/org/boragegap/core/cell/CellMemberTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellMemberTest.java
@@ -333,6 +333,40 @@
         }
     }
 
+    /** The controller can't reach the store. */
+    @Nested
+    final class WithoutTheStore {
+        private void endorse(long ms, String... followers) {
+            long fence = mMember.fence().orElseThrow();
+            for (String follower : followers) {
+                receive(
+                        ms,
+                        follower,
+                        new CellMessage.HeartbeatReply(fence, at(ms - 10), true, false, 0, 0, 0));
+            }
+        }
+
+        @Test
+        void itActsWhileAllVmsFollowIt() {
+            join(0, 3, true, "vm2", "vm3", "vm4");
+            endorse(900, "vm2", "vm3", "vm4");
+            feed(LEASE_MS + 25, new MemberEvent.Ticked());
+            assertThat(mMember.fence()).isPresent();
+        }
+
+        /**
+         * Guards against two controllers: the zone with most VMs is cut off with the controller,
+         * and the store assigns the cell to a VM outside without asking a majority.
+         */
+        @Test
+        void itEndsItsTermWhenOneOfThemIsNotHeard() {
+            join(0, 3, true, "vm2", "vm3", "vm4");
+            endorse(900, "vm2", "vm3");
+            feed(LEASE_MS + 25, new MemberEvent.Ticked());
+            assertThat(mMember.fence()).isEmpty();
+        }
+    }
+
     /**
      * A VM is stopped as planned. The platform continues to send it callers for two seconds, which
      * were refused although the cell had a controller and free capacity.
--- a/core/src/test/java/org/boragegap/core/cell/FakeEntryVm.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeEntryVm.java
@@ -14,6 +14,10 @@
     CellMember mMember;
     int mIncarnation;
     boolean mAlive;
+
+    /** True while the VM has no power; otherwise it refuses connections while it isn't alive. */
+    boolean mDark;
+
     long mPausedUntilMs;
     long mStalledUntilMs;
     long mPausedMs;
@@ -32,6 +36,7 @@
     void beginIncarnation() {
         mIncarnation++;
         mAlive = true;
+        mDark = false;
         mWatchesTargets = false;
         mPausedMs = 0;
         mDeferred.clear();
--- a/core/src/test/java/org/boragegap/core/cell/FakePlatform.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakePlatform.java
@@ -98,6 +98,11 @@
         return mTargets.get(id);
     }
 
+    /** The addresses of all targets. */
+    List<String> addresses() {
+        return ids().stream().map(id -> mTargets.get(id).info().address()).toList();
+    }
+
     private List<String> ids() {
         return mTargets.keySet().stream().sorted().toList();
     }
--- a/core/src/test/java/org/boragegap/core/cell/HistoryKind.java
+++ b/core/src/test/java/org/boragegap/core/cell/HistoryKind.java
@@ -31,6 +31,26 @@
             }),
     EVACUATIONS_WITHOUT_FAULTS(CellHistory::playEvacuationsWithoutFaults),
     NEW_VMS(CellHistory::playNewVmsWithSlowStore),
+
+    /** The zone that is cut off may hold most VMs, and the controller. */
+    ZONE_CUTS(CellHistory::playZoneCuts) {
+        @Override
+        CellHistory create(long seed, HistoryTrace trace) {
+            return CellHistory.withZones(seed, trace);
+        }
+    },
+    OUTAGES_WITH_LOSSES(CellHistory::playOutagesWithLosses) {
+        @Override
+        CellHistory create(long seed, HistoryTrace trace) {
+            return CellHistory.withZones(seed, trace);
+        }
+    },
+    MASS_LOSSES(CellHistory::playMassLosses) {
+        @Override
+        CellHistory create(long seed, HistoryTrace trace) {
+            return CellHistory.withZones(seed, trace);
+        }
+    },
     LOANS(null) {
         @Override
         InvariantChecker play(long seed, HistoryTrace trace) {
--- a/core/src/test/java/org/boragegap/core/cell/MembershipTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/MembershipTest.java
@@ -84,8 +84,8 @@
         }
 
         /**
-         * The store is unavailable to a majority: no other VM can be assigned the cell, and work
-         * continues.
+         * The store is unavailable, and all other VMs follow this one: none of them has been
+         * assigned the cell, and work continues.
          */
         @Test
         void aTermOutlastsAStoreOutageThatAffectsAll() {
--- /dev/null
+++ b/core/src/test/java/org/boragegap/core/cell/ZoneCutProperties.java
@@ -0,0 +1,37 @@
+package org.boragegap.core.cell;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import net.jqwik.api.Example;
+import org.boragegap.core.HistoryTrace;
+
+/**
+ * Zones of any size are cut off from the others and from the store, one after the other, while all
+ * other failures occur.
+ */
+final class ZoneCutProperties {
+    /** Guards against two controllers when the zone with most VMs is cut off with the first one. */
+    @Example
+    void noTaskRunsTwiceForSeedsThatOnceFailed() {
+        long[] seeds = {
+            60_000_123, 60_000_857, 60_001_260, 60_001_516, 60_001_953, 61_000_708, 61_001_389
+        };
+        for (long seed : seeds) {
+            assertHolds(HistoryKind.ZONE_CUTS, seed);
+        }
+    }
+
+    /** Guards against a refusal by one of two controllers of what the other one has started. */
+    @Example
+    void noStartedJobIsRefusedForSeedsThatOnceFailed() {
+        for (long seed : new long[] {60_000_640, 60_001_014, 60_001_131, 60_001_504, 61_001_217}) {
+            assertHolds(HistoryKind.ZONE_CUTS, seed);
+        }
+    }
+
+    private static void assertHolds(HistoryKind kind, long seed) {
+        InvariantChecker seen = kind.play(seed, HistoryTrace.NONE);
+        assertWithMessage("seed %s", seed).that(seen.violations()).isEmpty();
+        assertWithMessage("seed %s", seed).that(seen.falseRefusals()).isEmpty();
+    }
+}
