--- a/core/src/test/java/org/boragegap/core/cell/HistoryKind.java
+++ b/core/src/test/java/org/boragegap/core/cell/HistoryKind.java
@@ -39,6 +39,18 @@
             return CellHistory.withZones(seed, trace);
         }
     },
+
+    /** The same with tasks that run for as long as a cut. */
+    ZONE_CUTS_WITH_LONG_RUNS(
+            history -> {
+                history.mOrders.longRunMs(5_000);
+                return history.playZoneCuts();
+            }) {
+        @Override
+        CellHistory create(long seed, HistoryTrace trace) {
+            return CellHistory.withZones(seed, trace);
+        }
+    },
     OUTAGES_WITH_LOSSES(CellHistory::playOutagesWithLosses) {
         @Override
         CellHistory create(long seed, HistoryTrace trace) {
--- a/core/src/test/java/org/boragegap/core/cell/OrderTransport.java
+++ b/core/src/test/java/org/boragegap/core/cell/OrderTransport.java
@@ -32,6 +32,7 @@
     private final InvariantChecker mInvariants;
     private final HistoryTrace mTrace;
     private boolean mConnectionsOutlastTargets;
+    private long mLongRunMs = 1_500;
 
     OrderTransport(
             SimulatedClock clock,
@@ -50,6 +51,11 @@
         mTrace = trace;
     }
 
+    /** Sets how long the longer tasks run, in ms. */
+    void longRunMs(long ms) {
+        mLongRunMs = ms;
+    }
+
     /** Lets orders reach the next incarnation of a target, as if its connections went on. */
     void keepConnections() {
         mConnectionsOutlastTargets = true;
@@ -130,7 +136,7 @@
         if (order instanceof CellAction.ExtendLease extend) {
             target.extend(extend, answer);
         } else if (order instanceof CellAction.StartRun start) {
-            long runTimeMs = mRandom.nextInt(6) == 0 ? 1_500 : 30 + mRandom.nextInt(300);
+            long runTimeMs = mRandom.nextInt(6) == 0 ? mLongRunMs : 30 + mRandom.nextInt(300);
             target.start(start, runTimeMs, chance(TASK_FAILURE_PERCENT), answer);
         } else {
             long stopTimeMs = mRandom.nextInt(FakeTarget.MAX_STOP_MS + 1);
--- a/core/src/test/java/org/boragegap/core/cell/ZoneCutProperties.java
+++ b/core/src/test/java/org/boragegap/core/cell/ZoneCutProperties.java
@@ -18,6 +18,20 @@
         assertHolds(HistoryKind.ZONE_CUTS, seed);
     }
 
+    /** Guards against the same where tasks outlast the wait of the later controller. */
+    @Property(tries = 1_000, seed = "24")
+    void guaranteesHoldWhenZonesAreCutOffDuringLongRuns(@ForAll long seed) {
+        assertHolds(HistoryKind.ZONE_CUTS_WITH_LONG_RUNS, seed);
+    }
+
+    /** Guards against two controllers that run one long task: seeds of histories with two. */
+    @Example
+    void noLongTaskRunsTwiceForSeedsThatOnceFailed() {
+        for (long seed : new long[] {62_000_027, 62_000_194, 62_000_368, 62_000_894, 62_001_541}) {
+            assertHolds(HistoryKind.ZONE_CUTS_WITH_LONG_RUNS, seed);
+        }
+    }
+
     /**
      * Guards against a controller that takes a silent target's lease for ended which a later one
      * has extended: the cut moves, and a VM that has followed the first one is assigned the cell.
