A VM that is named again in its term waits for who may have acted

Callers would have seen a task run twice: VMs that don't hear each other all reach the store, which names one, another and the first again within a lease (found by review of the last postmortem, not played until now). The first goes on in its term, takes the lease of a target that it no longer hears for ended, and starts the task elsewhere, while the one in between has taken that run over and extended its lease. An unsettled term counted its wait for earlier leases from its beginning, although another VM was named since.

Cause: that nobody else has acted since the term began was concluded from an own term that was never ended. The group's answers tell: one of them didn't name this VM.

Now a VM that is named again after an answer that didn't name it lets a lease of the group pass, on the slowest clock, before it takes a silent target for lost, or settles by the clock. The term itself goes on: the group names its holder again whenever VMs come and go, and callers waited a second each time when that ended the term. Line `named-again`.

--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -193,6 +193,9 @@
                         && !mSearch.hearsAnotherController(wantsCell(), mClock.monotonicMs());
         boolean again = mMembership.joined(joined.generation(), holds, joined.sent(), mClock);
         updateTerm();
+        if (mMembership.namedAgain()) {
+            toController(new CellEvent.NamedAgain());
+        }
         if (mMembership.recentlyJoined(mClock)) {
             readMembers();
         }
@@ -204,11 +207,10 @@
     private void peersListed(MemberEvent.PeersListed listed) {
         mFollowers.updatePeers(listed.peers(), mClock.monotonicMs());
         mRecords.membersListed(listed, mClock.monotonicMs());
-        if (mController.fence().isEmpty()) {
-            return;
+        if (mController.fence().isPresent()) {
+            mPredecessors.membersListed(listed.peers(), listed.askedMs());
+            checkPredecessors();
         }
-        mPredecessors.membersListed(listed.peers(), listed.askedMs());
-        checkPredecessors();
     }
 
     /** Begins or ends the controller's term according to the membership. */
--- a/core/src/main/java/org/boragegap/core/cell/Membership.java
+++ b/core/src/main/java/org/boragegap/core/cell/Membership.java
@@ -51,6 +51,7 @@
     private long mLastOutageMs;
     private boolean mResigned;
     private boolean mAssignedElsewhere;
+    private boolean mNamedAgain;
 
     private Membership(long leaseMs, ClockReading start) {
         mLeaseMs = leaseMs;
@@ -86,8 +87,8 @@
      * later. When the term was ended and begun again, it had to wait for a second until earlier
      * leases had expired. If another VM is assigned the cell, its first heartbeat ends this term.
      * If that VM is not heard, the authority of this VM ends one lease after the last answer that
-     * named it, and the other VM waits for that. This doesn't cover a cell that is given back to
-     * this VM meanwhile.
+     * named it, and the other VM waits for that. If the cell is given back to this VM meanwhile,
+     * see {@link #namedAgain}.
      *
      * @param generation generation of the group
      * @param holds true when the cell is assigned to this VM
@@ -117,6 +118,7 @@
         mLastRenewal = sent;
         // An answer that arrives after the lease doesn't describe the present.
         boolean outdated = now.monotonicMs() - sent.monotonicMs() >= mLeaseMs;
+        mNamedAgain = holds && !outdated && mAssignedElsewhere && mFence != 0;
         mAssignedElsewhere = !holds;
         if (holds && !outdated && !mResigned) {
             hold(sent);
@@ -160,6 +162,14 @@
         return mAssignedElsewhere;
     }
 
+    /**
+     * True when the group's last answer names this VM again in a term in which the answer before
+     * didn't: another VM may have held the cell in between, and may act for a lease from now.
+     */
+    boolean namedAgain() {
+        return mNamedAgain;
+    }
+
     /** Ends the term, because another VM acts with a higher fencing token. */
     public void deposed() {
         mFence = 0;
--- a/core/src/main/java/org/boragegap/core/cell/Term.java
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -130,7 +130,23 @@
      */
     void endEarlierTermsWithin(long groupLeaseMs) {
         mGroupLeaseMs = groupLeaseMs;
-        mEarlierTermsEndMs = mSinceMs + (long) (groupLeaseMs / Target.MIN_CLOCK_RATE);
+        mEarlierTermsEndMs = mSinceMs + slowestMs(groupLeaseMs);
+    }
+
+    /** Length of a lease on the slowest clock, in ms. */
+    private static long slowestMs(long leaseMs) {
+        return (long) Math.ceil(leaseMs / Target.MIN_CLOCK_RATE);
+    }
+
+    /**
+     * Another VM may have controlled the cell for a moment, and may act for a lease of the group
+     * from now, and extend the leases of targets for as long.
+     */
+    void namedAgain() {
+        mEarlierTermsEndMs = mNowMs + slowestMs(mGroupLeaseMs);
+        mTargets.values().forEach(target -> target.earlierLeaseUntil(mEarlierTermsEndMs));
+        String inputs = "fence=" + mFence + " term_age_ms=" + (mNowMs - mSinceMs);
+        log(Decision.self("named-again", inputs, "another VM may act for a lease"));
     }
 
     /**
@@ -152,7 +168,7 @@
 
     /** The latest time at which a lease that an earlier controller granted just now may end. */
     long earlierLeaseEndMs() {
-        return mNowMs + (long) Math.ceil(LeaseManager.LEASE_MS / Target.MIN_CLOCK_RATE);
+        return mNowMs + slowestMs(LeaseManager.LEASE_MS);
     }
 
     void emit(CellAction action) {
--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -18,8 +18,6 @@
     /** VMs of a history in which zones are cut off. */
     private static final int ZONED_VMS = 7;
 
-    private static final long MIN_OUTAGE_MS = 2_400;
-    private static final long MAX_OUTAGE_MS = 6_000;
     private static final long DURATION_MS = 14_000;
     private static final long FAULTS_UNTIL_MS = 10_000;
     private static final long JOIN_INTERVAL_MS = 250;
@@ -36,12 +34,12 @@
     private final FakeGroup mGroup;
     private final List<FakeEntryVm> mVms = new ArrayList<>();
     private final SimulatedClock mClock = new SimulatedClock();
-    private final FakePlatform mPlatform;
+    final FakePlatform mPlatform;
     final OrderTransport mOrders;
     private final FakeCallers mCallers;
     private final PlannedStops mStops;
-    private final FakeNetwork mNetwork;
-    private final VmLosses mLosses;
+    final FakeNetwork mNetwork;
+    final VmLosses mLosses;
     private final TermStatistics mTerms = new TermStatistics();
     private final HistoryTrace mTrace;
     private final FaultRates mRates = new FaultRates();
@@ -95,20 +93,20 @@
         return play();
     }
 
-    /** Simulates outages of the store in which some VMs are lost, without any other failure. */
-    List<String> playOutagesWithLosses() {
-        long beginMs = 2_000 + mRandom.nextLong(2_000);
-        long endMs = beginMs + MIN_OUTAGE_MS + mRandom.nextLong(MAX_OUTAGE_MS - MIN_OUTAGE_MS);
-        after(beginMs, () -> mNetwork.storeOutage(endMs - beginMs));
-        mLosses.scheduleFew(beginMs, endMs);
-        scheduleJobs();
-        return run();
+    /**
+     * Simulates cuts between VMs that all reach the store, which assigns the cell anew again and
+     * again. Some tasks run for long.
+     */
+    List<String> playSplitsWithReassignments() {
+        mNetwork.keepStore();
+        for (long at = 1_700; at < FAULTS_UNTIL_MS; at += 50 + mRandom.nextLong(600)) {
+            after(at, mGroup::rebalance);
+        }
+        return playZoneCuts();
     }
 
-    /** Simulates the loss of most VMs and some targets at once, without any other failure. */
-    List<String> playMassLosses() {
-        mLosses.scheduleMost(2_000, 6_000);
-        mPlatform.scheduleMassCrashes(2_000, 6_000);
+    /** Simulates callers without any failure but those that are scheduled. */
+    List<String> playJobs() {
         scheduleJobs();
         return run();
     }
@@ -193,8 +191,7 @@
             long forMs = 1_000 + mRandom.nextLong(3_000);
             after(1_500 + mRandom.nextLong(7_000), () -> mPlatform.evacuateOne(forMs));
         }
-        scheduleJobs();
-        return run();
+        return playJobs();
     }
 
     /**
@@ -209,8 +206,7 @@
         for (int i = 0; i < 3; i++) {
             after(2_000 + mRandom.nextLong(6_000), mGroup::rebalance);
         }
-        scheduleJobs();
-        return run();
+        return playJobs();
     }
 
     private void killFollower(FakeEntryVm vm) {
--- a/core/src/test/java/org/boragegap/core/cell/ExpiredTermTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/ExpiredTermTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -80,6 +81,34 @@
         }
     }
 
+    /** The group has named another VM for a moment, and names this one again in the same term. */
+    @Nested
+    class NamedAgain {
+        private static final long NAMED_AGAIN_MS = 1_000;
+
+        /** A lease of the group on a slow clock, and an order in flight, after it was named. */
+        private static final long OTHER_TERM_OVER_MS = 2_130;
+
+        private final ScriptedCell mNamed = new ScriptedCell();
+
+        /** Guards against a second run beside those of the VM that was named in between. */
+        @Test
+        void anUnsettledTermWaitsForAnotherLease() {
+            mNamed.evacuate(0);
+            mNamed.on(0, new CellEvent.TermBegan(7, Optional.empty()));
+            mNamed.listed(5, TARGET);
+            mNamed.ticks(10, NAMED_AGAIN_MS);
+            mNamed.on(NAMED_AGAIN_MS, new CellEvent.NamedAgain());
+            mNamed.ticks(NAMED_AGAIN_MS, OTHER_TERM_OVER_MS - 100);
+            mNamed.report(OTHER_TERM_OVER_MS - 90, "t1", List.of(), List.of());
+            mNamed.offer(OTHER_TERM_OVER_MS - 80, "00000000000000e1", 1);
+            mNamed.ticks(OTHER_TERM_OVER_MS - 70, OTHER_TERM_OVER_MS - 20);
+            assertThat(mNamed.starts()).isEmpty();
+            mNamed.ticks(OTHER_TERM_OVER_MS, OTHER_TERM_OVER_MS);
+            assertThat(mNamed.starts()).hasSize(1);
+        }
+    }
+
     @Nested
     class WithASilentTarget {
         private static final String JOB = "00000000000000e1";
@@ -99,9 +128,13 @@
         }
 
         private void staySilentUntil(long untilMs) {
+            staySilent(20, untilMs);
+        }
+
+        private void staySilent(long fromMs, long untilMs) {
             String silent = mSilent.startedOn().get(0);
             String other = silent.equals("t1") ? "t2" : "t1";
-            for (long ms = 20; ms <= untilMs; ms += 10) {
+            for (long ms = fromMs; ms <= untilMs; ms += 10) {
                 mSilent.refused(ms, silent);
                 mSilent.report(ms, other, List.of(), List.of());
                 mSilent.on(ms, new CellEvent.Ticked());
@@ -119,6 +152,19 @@
             assertThat(mSilent.starts()).hasSize(1);
         }
 
+        /**
+         * Guards against the same where a VM that was named for a moment has extended the lease.
+         */
+        @Test
+        void startsNothingAgainForALeaseAfterItWasNamedAgain() {
+            staySilentUntil(900);
+            mSilent.on(900, new CellEvent.NamedAgain());
+            staySilent(910, 1_900);
+            assertThat(mSilent.starts()).hasSize(1);
+            staySilent(1_910, 2_000);
+            assertThat(mSilent.starts()).hasSize(2);
+        }
+
         @Test
         void startsItAgainOnceTheTermIsConfirmed() {
             mSilent.lastConfirmed(CONFIRMED_MS);
--- a/core/src/test/java/org/boragegap/core/cell/FakeNetwork.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeNetwork.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.boragegap.core.HistoryTrace;
 
@@ -16,6 +17,8 @@
     private static final long MIN_CUT_MS = 1_500;
     private static final long MAX_CUT_MS = 6_100;
     private static final int MAX_CUTS = 3;
+    private static final long MIN_OUTAGE_MS = 2_400;
+    private static final long MAX_OUTAGE_MS = 6_000;
 
     private final SimulatedClock mClock;
     private final SplittableRandom mRandom;
@@ -23,6 +26,7 @@
     private final List<String> mAddresses;
     private final Set<String> mCutOff = new HashSet<>();
     private boolean mStoreDown;
+    private boolean mCutsFromStore = true;
 
     /**
      * Creates a network in which all reach each other.
@@ -63,6 +67,23 @@
         mCutOff.clear();
     }
 
+    /** Lets the VMs of a zone that is cut off reach the store. */
+    void keepStore() {
+        mCutsFromStore = false;
+    }
+
+    /**
+     * Schedules an outage of the store.
+     *
+     * @param during receives its begin and its end
+     */
+    void scheduleOutage(long fromMs, long untilMs, BiConsumer<Long, Long> during) {
+        long beginMs = fromMs + mRandom.nextLong(untilMs - fromMs);
+        long forMs = MIN_OUTAGE_MS + mRandom.nextLong(MAX_OUTAGE_MS - MIN_OUTAGE_MS);
+        mClock.after(beginMs, () -> storeOutage(forMs));
+        during.accept(beginMs, beginMs + forMs);
+    }
+
     /** Makes the store unavailable to all for a time. */
     void storeOutage(long forMs) {
         mStoreDown = true;
@@ -89,7 +110,8 @@
     }
 
     boolean reachesStore(FakeEntryVm vm) {
-        return !mStoreDown && !vm.mStoreLost && !mCutOff.contains(vm.mAddress);
+        boolean cutOff = mCutsFromStore && mCutOff.contains(vm.mAddress);
+        return !mStoreDown && !vm.mStoreLost && !cutOff;
     }
 
     boolean connects(FakeEntryVm vm, FakeEntryVm other) {
--- a/core/src/test/java/org/boragegap/core/cell/HistoryKind.java
+++ b/core/src/test/java/org/boragegap/core/cell/HistoryKind.java
@@ -51,13 +51,32 @@
             return CellHistory.withZones(seed, trace);
         }
     },
-    OUTAGES_WITH_LOSSES(CellHistory::playOutagesWithLosses) {
+    SPLITS_WITH_REASSIGNMENTS(
+            history -> {
+                history.mOrders.longRunMs(5_000);
+                return history.playSplitsWithReassignments();
+            }) {
+        @Override
+        CellHistory create(long seed, HistoryTrace trace) {
+            return CellHistory.withZones(seed, trace);
+        }
+    },
+    OUTAGES_WITH_LOSSES(
+            history -> {
+                history.mNetwork.scheduleOutage(2_000, 4_000, history.mLosses::scheduleFew);
+                return history.playJobs();
+            }) {
         @Override
         CellHistory create(long seed, HistoryTrace trace) {
             return CellHistory.withZones(seed, trace);
         }
     },
-    MASS_LOSSES(CellHistory::playMassLosses) {
+    MASS_LOSSES(
+            history -> {
+                history.mLosses.scheduleMost(2_000, 6_000);
+                history.mPlatform.scheduleMassCrashes(2_000, 6_000);
+                return history.playJobs();
+            }) {
         @Override
         CellHistory create(long seed, HistoryTrace trace) {
             return CellHistory.withZones(seed, trace);
--- a/core/src/test/java/org/boragegap/core/cell/MembershipTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/MembershipTest.java
@@ -61,6 +61,19 @@
             assertThat(mMembership.fence()).hasValue(fence);
         }
 
+        /** Guards against a VM that doesn't notice that another one held the cell in its term. */
+        @Test
+        void aVmThatIsNamedAgainIsTold() {
+            join(3, true, 0);
+            assertThat(mMembership.namedAgain()).isFalse();
+            join(4, false, 250);
+            assertThat(mMembership.namedAgain()).isFalse();
+            join(5, true, 270);
+            assertThat(mMembership.namedAgain()).isTrue();
+            join(5, true, 520);
+            assertThat(mMembership.namedAgain()).isFalse();
+        }
+
         /**
          * The answer to a join was delayed by a network partition, so it doesn't describe the
          * present.
--- a/core/src/test/java/org/boragegap/core/cell/ReassignedCellProperties.java
+++ b/core/src/test/java/org/boragegap/core/cell/ReassignedCellProperties.java
@@ -25,6 +25,39 @@
         assertHolds(HistoryKind.REASSIGNMENTS_WITH_LONG_LEASE, seed);
     }
 
+    /**
+     * Guards against two controllers when VMs that don't hear each other are named in turn, each
+     * for a moment, so that the term of each goes on.
+     */
+    @Property(tries = 1_000, seed = "25")
+    void guaranteesHoldWhenSplitVmsAreNamedInTurn(@ForAll long seed) {
+        assertHolds(HistoryKind.SPLITS_WITH_REASSIGNMENTS, seed);
+    }
+
+    /** Guards against the same: seeds of histories in which a task ran twice. */
+    @Example
+    void noTaskRunsTwiceWhenAVmIsNamedAgain() {
+        for (long seed : new long[] {63_000_164, 63_000_403, 63_000_717, 63_000_816, 63_000_865}) {
+            assertHolds(HistoryKind.SPLITS_WITH_REASSIGNMENTS, seed);
+        }
+    }
+
+    /** Guards against two controllers when a VM is replaced between two of its own renewals. */
+    @Example
+    void noTaskRunsTwiceWhenAVmIsReplacedBetweenTwoRenewals() {
+        assertHolds(HistoryKind.SPLITS_WITH_REASSIGNMENTS, 63_001_466);
+    }
+
+    /** Guards against a VM that is named again and refuses what the other one has started. */
+    @Example
+    void noStartedJobIsRefusedByAVmThatIsNamedAgain() {
+        for (long seed : new long[] {63_000_870, 63_001_246}) {
+            InvariantChecker seen =
+                    HistoryKind.SPLITS_WITH_REASSIGNMENTS.play(seed, HistoryTrace.NONE);
+            assertWithMessage("seed %s", seed).that(seen.falseRefusals()).isEmpty();
+        }
+    }
+
     /** Guards against a task that runs twice: seeds of histories in which one did. */
     @Example
     void guaranteesHoldForSeedsThatOnceFailed() {
