--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 test -f app/target/boragegap.jar || mvn -B -q -DskipTests package
 mkdir -p target/review-2
-javac -cp app/target/boragegap.jar -d target/review-2 review/lab/*.java
+javac -cp app/target/boragegap.jar -d target/review-2 review/4/*.java
