--- a/review/standins-3/Deployment.java
+++ b/review/standins-3/Deployment.java
@@ -91,10 +91,21 @@
         private void ended() {
             if (!closed) {
                 ends++;
+                markRestart();
                 timer.schedule(this::start, RESTART_DELAY_MS, TimeUnit.MILLISECONDS);
             }
         }
 
+        /** The deployment as a whole doesn't start for the first time any more. */
+        private void markRestart() {
+            try {
+                String text = Files.readString(settings);
+                Files.writeString(settings, text.replace("start = true", "start = false"));
+            } catch (IOException e) {
+                throw new IllegalStateException("can't change the settings of " + name, e);
+            }
+        }
+
         synchronized boolean runs() {
             return process != null && process.isAlive();
         }
