Review cases 9 to 12: stand-ins in the folder of their case

review/standins-3/ is gone: its files stand in review/9 to review/12, unchanged. Cases 10 and 12 use the deployment and the client of case 9. review/build-3.sh compiles into target/.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -2,11 +2,11 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without
 # the jobs that can never be done.
 cd "$(dirname "$0")/../.." || exit 2
-if [ ! -f app/target/boragegap.jar ] || [ ! -d review/standins-3/target ]; then
+if [ ! -f app/target/boragegap.jar ] || [ ! -d target/review-3 ]; then
     echo "the build of the deploy file, or review/build-3.sh, has not run" >&2
     exit 2
 fi
-timeout 110 java -cp app/target/boragegap.jar:review/standins-3/target Overfull \
+timeout 110 java -cp app/target/boragegap.jar:target/review-3 Overfull \
     review/10/record.txt 2>/dev/null
 code=$?
 if [ "$code" -gt 1 ]; then
