Requests of a connection are queued, and each is answered in order

A request sent while the one before it waited was read and never answered; a third one after two in one segment ended the connection, and none was answered.

Cause: the library's server stops reading while a request waits, and resumes only if the reply is given in the read event that has brought the head. Accepted jobs turned reading on by force, to notice a client that leaves, and what was then read while they waited was lost in the server.

Change: the endpoint uses the codec without the server. RequestFilter assembles whole requests, ServerConnection queues those of a connection, handles them one at a time and keeps reading, bounded. A connection is closed after all requests that were read on it are answered. It covers all listeners. A handler that throws is answered with 500 (HttpEndpointTest.failingHandlerIsAnswered, failed before).

Ruled out, by trial: reading turned on for each request (early requests are lost as before), and a filter below the codec that holds early bytes back (the server keeps the rest of a segment itself, and takes it up later: out of order).

--- a/http/src/main/java/org/boragegap/http/HttpEndpoint.java
+++ b/http/src/main/java/org/boragegap/http/HttpEndpoint.java
@@ -1,22 +1,21 @@
 package org.boragegap.http;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.util.Map;
-import java.util.concurrent.ExecutionException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.glassfish.grizzly.ReadHandler;
-import org.glassfish.grizzly.http.io.NIOInputStream;
-import org.glassfish.grizzly.http.server.HttpHandler;
-import org.glassfish.grizzly.http.server.HttpServer;
-import org.glassfish.grizzly.http.server.NetworkListener;
-import org.glassfish.grizzly.http.server.Request;
-import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.http.HttpServerFilter;
+import org.glassfish.grizzly.http.KeepAlive;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 
@@ -28,29 +27,63 @@
     private static final int SELECTOR_THREADS =
             Math.min(2, Runtime.getRuntime().availableProcessors());
 
-    private static final int CONTENT_TOO_LARGE = 413;
     private static final int MAX_HEADER_BYTES = 16 * 1024;
-    private static final int BUFFER_BYTES = 8 * 1024;
+    private static final int MAX_HEADERS = 100;
 
-    private final HttpServer mServer = new HttpServer();
-    private final NetworkListener mListener;
+    /** Interval between checks for idle connections, in ms. */
+    private static final long IDLE_CHECK_INTERVAL_MS = 5_000;
+
+    /** Interval between checks whether all connections are closed, in ms. */
+    private static final long DRAIN_CHECK_INTERVAL_MS = 20;
+
+    private final String mName;
+    private final String mHost;
+    private final int mPort;
+    private final RequestFilter mRequests;
+    private final TCPNIOTransport mTransport;
+    private final ScheduledExecutorService mTimer;
+    private volatile int mBoundPort;
 
     private HttpEndpoint(String name, String host, int port, int maxBodyBytes, Handler handler) {
-        mListener = new NetworkListener(name, host, port);
-        mListener.setMaxHttpHeaderSize(MAX_HEADER_BYTES);
-        TCPNIOTransport transport = mListener.getTransport();
-        transport.setIOStrategy(SameThreadIOStrategy.getInstance());
-        transport.setSelectorRunnersCount(SELECTOR_THREADS);
-        transport.setKernelThreadPoolConfig(
-                ThreadPoolConfig.defaultConfig()
-                        .setPoolName(name)
-                        .setCorePoolSize(SELECTOR_THREADS)
-                        .setMaxPoolSize(SELECTOR_THREADS));
-        transport.setTcpNoDelay(true);
-        mServer.addListener(mListener);
-        mServer.getServerConfiguration()
-                .addHttpHandler(new BodyBufferingHandler(maxBodyBytes, handler), "/");
-        mServer.getServerConfiguration().setJmxEnabled(false);
+        mName = name;
+        mHost = host;
+        mPort = port;
+        mRequests = new RequestFilter(maxBodyBytes, handler);
+        mTimer = Executors.newSingleThreadScheduledExecutor(this::timerThread);
+        FilterChainBuilder chain = FilterChainBuilder.stateless();
+        chain.add(new TransportFilter());
+        chain.add(codec());
+        chain.add(mRequests);
+        mTransport =
+                TCPNIOTransportBuilder.newInstance()
+                        .setName(name)
+                        .setIOStrategy(SameThreadIOStrategy.getInstance())
+                        .setSelectorThreadPoolConfig(
+                                ThreadPoolConfig.defaultConfig()
+                                        .setPoolName(name)
+                                        .setCorePoolSize(SELECTOR_THREADS)
+                                        .setMaxPoolSize(SELECTOR_THREADS))
+                        .setSelectorRunnersCount(SELECTOR_THREADS)
+                        .setTcpNoDelay(true)
+                        .setReuseAddress(true)
+                        .setProcessor(chain.build())
+                        .build();
+    }
+
+    /** The codec doesn't end connections by itself; see {@link ServerConnection}. */
+    @SuppressWarnings("deprecation")
+    private static HttpServerFilter codec() {
+        KeepAlive keepAlive = new KeepAlive();
+        keepAlive.setMaxRequestsCount(-1);
+        keepAlive.setIdleTimeoutInSeconds(-1);
+        return new HttpServerFilter(
+                true, MAX_HEADER_BYTES, null, keepAlive, null, MAX_HEADERS, MAX_HEADERS);
+    }
+
+    private Thread timerThread(Runnable task) {
+        Thread thread = new Thread(task, mName + "-timer");
+        thread.setDaemon(true);
+        return thread;
     }
 
     /** Handles requests. */
@@ -72,12 +105,19 @@
 
     /** Starts listening. */
     public void start() throws IOException {
-        mServer.start();
+        mTransport.start();
+        TCPNIOServerConnection listener = mTransport.bind(new InetSocketAddress(mHost, mPort));
+        mBoundPort = ((InetSocketAddress) listener.getLocalAddress()).getPort();
+        mTimer.scheduleWithFixedDelay(
+                mRequests::closeIdle,
+                IDLE_CHECK_INTERVAL_MS,
+                IDLE_CHECK_INTERVAL_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Returns the port it listens on, once started. */
     public int port() {
-        return mListener.getPort();
+        return mBoundPort;
     }
 
     /**
@@ -87,103 +127,34 @@
      * @param boundMs time allowed for pending responses, in milliseconds
      */
     public void drain(long boundMs) {
+        mTransport.unbindAll();
+        mRequests.closeWhenDone();
+        CountDownLatch closed = new CountDownLatch(1);
+        mTimer.scheduleWithFixedDelay(
+                () -> countDownIfClosed(closed), 0, DRAIN_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
         try {
-            mServer.shutdown(boundMs, TimeUnit.MILLISECONDS)
-                    .get(2 * boundMs, TimeUnit.MILLISECONDS);
+            if (!closed.await(boundMs, TimeUnit.MILLISECONDS)) {
+                sLog.warn("not all responses were sent within {} ms", boundMs);
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } catch (ExecutionException | TimeoutException e) {
-            sLog.warn("not all responses were sent within {} ms", boundMs);
         }
+        stop();
     }
 
-    /** Stops listening and closes all connections. */
-    public void stop() {
-        mServer.shutdownNow();
-    }
-
-    private static final class BodyBufferingHandler extends HttpHandler {
-        private final int mMaxBodyBytes;
-        private final Handler mHandler;
-
-        private BodyBufferingHandler(int maxBodyBytes, Handler handler) {
-            mMaxBodyBytes = maxBodyBytes;
-            mHandler = handler;
+    private void countDownIfClosed(CountDownLatch closed) {
+        if (!mRequests.hasConnections()) {
+            closed.countDown();
         }
+    }
 
-        @Override
-        public void service(Request request, Response response) {
-            response.suspend();
-            if (request.getContentLengthLong() > mMaxBodyBytes) {
-                rejectTooLarge(request, response);
-                return;
-            }
-            NIOInputStream input = request.getNIOInputStream();
-            input.notifyAvailable(new BodyReader(request, response, input));
-        }
-
-        private void rejectTooLarge(Request request, Response response) {
-            String problem =
-                    "{\"title\":\"Body too large\",\"status\":413,\"outcome\":\"not_run\","
-                            + "\"detail\":\"the body may have "
-                            + mMaxBodyBytes
-                            + " bytes\"}";
-            new IncomingRequest(request, response, new byte[0])
-                    .reply(
-                            CONTENT_TOO_LARGE,
-                            "application/problem+json",
-                            Map.of("Connection", "close"),
-                            problem);
-        }
-
-        private final class BodyReader implements ReadHandler {
-            private final Request mRequest;
-            private final Response mResponse;
-            private final NIOInputStream mInput;
-            private final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
-
-            private BodyReader(Request request, Response response, NIOInputStream input) {
-                mRequest = request;
-                mResponse = response;
-                mInput = input;
-            }
-
-            @Override
-            public void onDataAvailable() throws IOException {
-                readAvailable();
-                if (mBytes.size() > mMaxBodyBytes) {
-                    rejectTooLarge(mRequest, mResponse);
-                    return;
-                }
-                mInput.notifyAvailable(this);
-            }
-
-            @Override
-            public void onAllDataRead() throws IOException {
-                readAvailable();
-                if (mBytes.size() > mMaxBodyBytes) {
-                    rejectTooLarge(mRequest, mResponse);
-                    return;
-                }
-                mHandler.accept(new IncomingRequest(mRequest, mResponse, mBytes.toByteArray()));
-            }
-
-            @Override
-            public void onError(Throwable cause) {
-                sLog.debug("can't read request body: {}", cause.getMessage());
-                mResponse.resume();
-            }
-
-            private void readAvailable() throws IOException {
-                byte[] buffer = new byte[BUFFER_BYTES];
-                while (mInput.isReady()) {
-                    int count = mInput.read(buffer);
-                    if (count <= 0) {
-                        return;
-                    }
-                    mBytes.write(buffer, 0, count);
-                }
-            }
+    /** Stops listening and closes all connections. */
+    public void stop() {
+        mTimer.shutdownNow();
+        try {
+            mTransport.shutdownNow();
+        } catch (IOException e) {
+            sLog.warn("HTTP listener {} did not stop cleanly: {}", mName, e.getMessage());
         }
     }
 }
--- a/http/src/main/java/org/boragegap/http/IncomingRequest.java
+++ b/http/src/main/java/org/boragegap/http/IncomingRequest.java
@@ -1,52 +1,96 @@
 package org.boragegap.http;
 
-import java.io.IOException;
+import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
-import org.glassfish.grizzly.CloseListener;
-import org.glassfish.grizzly.Closeable;
-import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.ICloseType;
-import org.glassfish.grizzly.IOEvent;
-import org.glassfish.grizzly.http.server.Request;
-import org.glassfish.grizzly.http.server.Response;
+import java.util.TreeMap;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
 
 /** A received request with its whole body. It is replied to once, on any thread. */
 public final class IncomingRequest {
-    private final Request mRequest;
-    private final Response mResponse;
+    private static final String CONNECTION = "Connection";
+    private static final String CLOSE = "close";
+
+    /** Size of a request without its body that counts, in bytes. */
+    private static final int HEAD_BYTES = 512;
+
+    private final ServerConnection mConnection;
+    private final HttpResponsePacket mResponse;
+    private final String mMethod;
+    private final String mPath;
+    private final String mQuery;
+    private final Map<String, String> mHeaders;
     private final byte[] mBody;
-    private final AtomicBoolean mReplied = new AtomicBoolean();
+    private boolean mCloseAfterReply;
+    private boolean mReplied;
+    private boolean mClosed;
+    private Runnable mOnClosed = () -> {};
+
+    private IncomingRequest(HttpRequestPacket packet, byte[] body, ServerConnection connection) {
+        mConnection = connection;
+        mResponse = packet.getResponse();
+        mMethod = packet.getMethod().getMethodString();
+        mPath = packet.getRequestURI();
+        mQuery = packet.getQueryString() == null ? "" : packet.getQueryString();
+        mHeaders = headers(packet);
+        mBody = body;
+        mCloseAfterReply =
+                CLOSE.equalsIgnoreCase(mHeaders.get(CONNECTION))
+                        || packet.getProtocol() == Protocol.HTTP_1_0;
+    }
 
-    /** Removes the close listener that {@link #onClosedBeforeReply} has added. */
-    private volatile Runnable mRemoveCloseListener = () -> {};
+    /** Copies what was parsed, since the buffers that the packet refers to are reused. */
+    static IncomingRequest create(
+            HttpRequestPacket packet, byte[] body, ServerConnection connection) {
+        return new IncomingRequest(packet, body, connection);
+    }
 
-    IncomingRequest(Request request, Response response, byte[] body) {
-        mRequest = request;
-        mResponse = response;
-        mBody = body;
+    private static Map<String, String> headers(HttpRequestPacket packet) {
+        Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        packet.getHeaders()
+                .names()
+                .forEach(name -> headers.putIfAbsent(name, packet.getHeader(name)));
+        return headers;
     }
 
     /** Returns the HTTP method. */
     public String method() {
-        return mRequest.getMethod().getMethodString();
+        return mMethod;
     }
 
     /** Returns the path without the query. */
     public String path() {
-        return mRequest.getRequestURI();
+        return mPath;
     }
 
     /** Returns a query parameter. */
     public Optional<String> query(String name) {
-        return Optional.ofNullable(mRequest.getParameter(name));
+        for (String parameter : mQuery.split("&")) {
+            int end = parameter.indexOf('=');
+            if (end >= 0 && decode(parameter.substring(0, end)).equals(name)) {
+                return Optional.of(decode(parameter.substring(end + 1)));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static String decode(String encoded) {
+        try {
+            return URLDecoder.decode(encoded, StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            return encoded;
+        }
     }
 
     /** Returns a header. */
     public Optional<String> header(String name) {
-        return Optional.ofNullable(mRequest.getHeader(name));
+        return Optional.ofNullable(mHeaders.get(name));
     }
 
     /** Returns the body. */
@@ -54,39 +98,38 @@
         return mBody;
     }
 
+    /** Size that counts while the request is queued, in bytes. */
+    long sizeBytes() {
+        return HEAD_BYTES + mBody.length;
+    }
+
     /**
      * Registers a callback for the case that the client closes its connection before the reply; to
-     * be called at most once. The reply removes the close listener: otherwise, a connection that a
-     * client keeps open would retain every request received over it, so that memory grows with each
-     * request and each reply searches a longer list of listeners. Reading is enabled on the
-     * connection because the server does not read from one that waits for a reply, and would not
-     * notice that it is closed.
+     * be called at most once.
      */
-    @SuppressWarnings({"rawtypes", "unchecked", "deprecation"})
     public void onClosedBeforeReply(Runnable callback) {
-        Connection<?> connection = mRequest.getContext().getConnection();
-        CloseListener<Closeable, ICloseType> listener =
-                (closeable, type) -> {
-                    if (!mReplied.get()) {
-                        callback.run();
-                    }
-                };
-        connection.addCloseListener(listener);
-        mRemoveCloseListener = () -> connection.removeCloseListener(listener);
-        if (mReplied.get()) {
-            // Another thread has replied in the meantime and found no listener to remove.
-            mRemoveCloseListener.run();
+        synchronized (this) {
+            if (!mClosed) {
+                mOnClosed = callback;
+                return;
+            }
         }
-        try {
-            connection.enableIOEvent(IOEvent.READ);
-        } catch (IOException e) {
-            callback.run();
+        callback.run();
+    }
+
+    /** The connection was closed; a request that waits for its reply can't be replied to. */
+    void connectionClosed() {
+        Runnable onClosed;
+        synchronized (this) {
+            mClosed = true;
+            onClosed = mReplied ? () -> {} : mOnClosed;
         }
+        onClosed.run();
     }
 
     /** Requests that the connection be closed after the reply; to be called before the reply. */
     public void closeAfterReply() {
-        mResponse.setHeader("Connection", "close");
+        mCloseAfterReply = true;
     }
 
     /** Returns the body decoded as UTF-8. */
@@ -110,28 +153,37 @@
     }
 
     private void reply(int status, String contentType, Map<String, String> headers, byte[] bytes) {
-        if (!mReplied.compareAndSet(false, true)) {
+        if (!markReplied()) {
             return;
         }
-        mRemoveCloseListener.run();
         mResponse.setStatus(status);
         mResponse.setContentType(contentType);
         mResponse.setContentLength(bytes.length);
         headers.forEach(mResponse::setHeader);
-        try {
-            mResponse.getOutputStream().write(bytes);
-        } catch (IOException e) {
-            // The client has closed the connection, so the failure can't be reported to it.
-            mRequest.getContext().getConnection().closeSilently();
+        boolean close =
+                mConnection.closesAfterReply(
+                        mCloseAfterReply || CLOSE.equalsIgnoreCase(headers.get(CONNECTION)));
+        if (close) {
+            mResponse.setHeader(CONNECTION, CLOSE);
         }
-        mResponse.resume();
+        HttpContent content =
+                HttpContent.builder(mResponse)
+                        .content(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes))
+                        .last(true)
+                        .build();
+        mConnection.write(content, close, HttpClient.nowMs());
+    }
+
+    private synchronized boolean markReplied() {
+        boolean first = !mReplied;
+        mReplied = true;
+        return first;
     }
 
     /** Closes the connection without a reply. */
     public void drop() {
-        if (mReplied.compareAndSet(false, true)) {
-            mRequest.getContext().getConnection().closeSilently();
-            mResponse.resume();
+        if (markReplied()) {
+            mConnection.drop();
         }
     }
 }
--- a/http/src/test/java/org/boragegap/http/HttpEndpointTest.java
+++ b/http/src/test/java/org/boragegap/http/HttpEndpointTest.java
@@ -93,6 +93,69 @@
         endpoint.stop();
     }
 
+    /** A handler that fails leaves its caller without an answer. */
+    @Test
+    void failingHandlerIsAnswered() throws Exception {
+        String response = exchange("GET / HTTP/1.1\r\nHost: a\r\n\r\n", in -> checkArgument(false));
+        assertThat(response).startsWith("HTTP/1.1 500");
+    }
+
+    /** What isn't HTTP leaves a connection open without an answer. */
+    @Test
+    void malformedRequestIsRefused() throws Exception {
+        String response = exchange("nothing\r\nlike a request\r\n\r\n", in -> in.reply(200, "{}"));
+        assertThat(response).startsWith("HTTP/1.1 505");
+    }
+
+    /** A body in chunks is passed on in part, or counted as too large. */
+    @Test
+    void chunkedBodyIsAssembled() throws Exception {
+        String request =
+                "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+        assertThat(exchange(request, in -> in.reply(200, in.text()))).endsWith("abcde");
+    }
+
+    /** A client that waits for leave to send its body never gets it. */
+    @Test
+    void bodyIsAskedFor() throws Exception {
+        HttpEndpoint endpoint =
+                HttpEndpoint.create(
+                        "test", HOST, ANY_PORT, BODY_BYTES, in -> in.reply(200, in.text()));
+        endpoint.start();
+        try (Socket socket = new Socket(HOST, endpoint.port())) {
+            socket.setSoTimeout(TIMEOUT_MS);
+            String head =
+                    "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+                            + "Content-Length: 2\r\n\r\n";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            byte[] leave = socket.getInputStream().readNBytes("HTTP/1.1 100".length());
+            assertThat(new String(leave, StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 100");
+            socket.getOutputStream().write("{}".getBytes(StandardCharsets.US_ASCII));
+            readResponse(socket.getInputStream());
+        }
+        endpoint.stop();
+    }
+
+    /** Sends bytes to an endpoint, and returns what comes back until the connection ends. */
+    private static String exchange(String request, HttpEndpoint.Handler handler) throws Exception {
+        HttpEndpoint endpoint = HttpEndpoint.create("test", HOST, ANY_PORT, BODY_BYTES, handler);
+        endpoint.start();
+        try (Socket socket = new Socket(HOST, endpoint.port())) {
+            socket.setSoTimeout(TIMEOUT_MS);
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } finally {
+            endpoint.stop();
+        }
+    }
+
+    private static void checkArgument(boolean valid) {
+        if (!valid) {
+            throw new IllegalArgumentException("not valid");
+        }
+    }
+
     private static void readResponse(InputStream in) throws IOException {
         StringBuilder text = new StringBuilder();
         while (!text.toString().endsWith("{}")) {
