A controller's authority is renewed by proof of an unbroken hold alone

Cause: a join's answer that names a VM was taken to continue its term, whatever had happened since the answer before. Membership saw another holder only if one of its own joins fell between, and went on extending leases.

Change: a join renews the authority in the proven generation only. When the generation has grown, a commit that names the proven one asks the store; it answers 409 to a member that has not held the partition since then. 200: the term goes on. 409: the term ends, and another one with a higher token begins if this VM is still named. No answer proves nothing.

Weighed: ending the term whenever the generation has grown needs no commit, and costs a term whenever a VM comes or goes.

--- a/core/src/main/java/org/boragegap/core/cell/CellController.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -250,8 +250,6 @@
             mRuns.startAnswered(answered);
         } else if (event instanceof CellEvent.StopAnswered answered) {
             mRuns.stopAnswered(answered);
-        } else if (event instanceof CellEvent.NamedAgain) {
-            mTerm.namedAgain();
         } else if (event instanceof CellEvent.PredecessorsKnown) {
             mSettlement.predecessorsKnown();
         } else if (event instanceof CellEvent.Ticked) {
--- a/core/src/main/java/org/boragegap/core/cell/CellEvent.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellEvent.java
@@ -21,9 +21,6 @@
      */
     record PredecessorsKnown() implements CellEvent {}
 
-    /** The group names this VM again; another one may have controlled the cell in between. */
-    record NamedAgain() implements CellEvent {}
-
     /** This VM no longer controls the cell. */
     record TermEnded() implements CellEvent {}
 
--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -166,6 +166,8 @@
     private void handle(MemberEvent event) {
         if (event instanceof MemberEvent.Joined joined) {
             joined(joined);
+        } else if (event instanceof MemberEvent.HoldChecked checked) {
+            holdChecked(checked);
         } else if (event instanceof MemberEvent.PeerProcessorKnown known) {
             mHeartbeats.peerCpuMillis(known.medianCpuMillis());
         } else if (event instanceof MemberEvent.PeersListed listed) {
@@ -193,9 +195,9 @@
                         && !mSearch.hearsAnotherController(wantsCell(), mClock.monotonicMs());
         boolean again = mMembership.joined(joined.generation(), holds, joined.sent(), mClock);
         updateTerm();
-        if (mMembership.namedAgain()) {
-            toController(new CellEvent.NamedAgain());
-        }
+        mMembership
+                .takeHoldCheck()
+                .ifPresent(check -> mActions.add(new MemberAction.CheckHold(check)));
         if (mMembership.recentlyJoined(mClock)) {
             readMembers();
         }
@@ -204,6 +206,14 @@
         }
     }
 
+    private void holdChecked(MemberEvent.HoldChecked checked) {
+        Membership.HoldCheck check = checked.check();
+        if (mMembership.holdChecked(check, checked.unbroken(), checked.sent(), mClock)) {
+            log(ControllerAuthority.holdChecked(checked, mClock));
+            updateTerm();
+        }
+    }
+
     private void peersListed(MemberEvent.PeersListed listed) {
         mFollowers.updatePeers(listed.peers(), mClock.monotonicMs());
         mRecords.membersListed(listed, mClock.monotonicMs());
@@ -227,7 +237,7 @@
                 mRecords.termEnded(term.get(), mMembership.lastHeld());
             }
             toController(new CellEvent.TermEnded());
-            if (!mMembership.assignedElsewhere()) {
+            if (held.isEmpty() && !mMembership.assignedElsewhere()) {
                 // On this message another VM becomes a candidate at once. If the group has named
                 // another holder already, a further candidate would only cause another rebalance.
                 broadcast(new CellMessage.Leaving(term.get()));
--- a/core/src/main/java/org/boragegap/core/cell/ControllerAuthority.java
+++ b/core/src/main/java/org/boragegap/core/cell/ControllerAuthority.java
@@ -52,6 +52,22 @@
         return Decision.self("deposed", inputs, "ends its term");
     }
 
+    /** Creates the log entry of the group's answer to a check of the hold. */
+    static Decision holdChecked(MemberEvent.HoldChecked checked, ClockReading clock) {
+        Membership.HoldCheck check = checked.check();
+        String inputs =
+                "fence="
+                        + check.fence()
+                        + " since_generation="
+                        + check.since()
+                        + " named_in_generation="
+                        + check.named()
+                        + " took_ms="
+                        + (clock.monotonicMs() - checked.sent().monotonicMs());
+        String outcome = checked.unbroken() ? "unbroken" : "interrupted, ends its term";
+        return Decision.self("hold", inputs, outcome);
+    }
+
     private Decision decision(long fence, ClockReading clock) {
         long heldMs = mMembership.lastHeld().map(ClockReading::monotonicMs).orElse(0L);
         List<String> silent = mFollowers.unansweredSince(heldMs);
--- a/core/src/main/java/org/boragegap/core/cell/MemberAction.java
+++ b/core/src/main/java/org/boragegap/core/cell/MemberAction.java
@@ -44,6 +44,13 @@
     /** Reads the members of the group at once. */
     record ReadMembers() implements MemberAction {}
 
+    /**
+     * Asks the group whether this VM has held the cell without a break.
+     *
+     * @param check what to ask
+     */
+    record CheckHold(Membership.HoldCheck check) implements MemberAction {}
+
     /** Joins the group again at once, so that the store can continue its rebalance. */
     record Rejoin() implements MemberAction {}
 
--- a/core/src/main/java/org/boragegap/core/cell/MemberEvent.java
+++ b/core/src/main/java/org/boragegap/core/cell/MemberEvent.java
@@ -15,6 +15,16 @@
      */
     record Joined(long generation, boolean holdsCell, ClockReading sent) implements MemberEvent {}
 
+    /**
+     * The store answered a check of the hold.
+     *
+     * @param check what was asked
+     * @param unbroken true when this VM has held the cell since then
+     * @param sent when the check was sent
+     */
+    record HoldChecked(Membership.HoldCheck check, boolean unbroken, ClockReading sent)
+            implements MemberEvent {}
+
     /**
      * The other members of the group were read.
      *
--- a/core/src/main/java/org/boragegap/core/cell/Membership.java
+++ b/core/src/main/java/org/boragegap/core/cell/Membership.java
@@ -30,6 +30,9 @@
      */
     private static final long LISTEN_MS = 250;
 
+    /** Shortest time between two checks of the same hold, in ms; answers may be lost. */
+    private static final long MIN_CHECK_INTERVAL_MS = 150;
+
     /** Allowance for clocks that run at slightly different rates, and for scheduling, in ms. */
     private static final long OUTAGE_MARGIN_MS = 50;
 
@@ -41,9 +44,24 @@
     /** When the last join was sent that the store has answered, whoever holds the cell. */
     private ClockReading mLastRenewal;
 
-    /** When the last join was sent whose answer named this VM as the holder. */
+    /**
+     * When the last call was sent whose answer proved that this VM has held the cell since its term
+     * began.
+     */
     private Optional<ClockReading> mLastHeldRenewal = Optional.empty();
 
+    /** The last generation for which that was proven. */
+    private long mProvenGeneration;
+
+    /** The last answer to a join if it named this VM as the holder. */
+    private Optional<Naming> mNaming = Optional.empty();
+
+    /** The last check, and whether it has to be sent. */
+    private Optional<HoldCheck> mCheck = Optional.empty();
+
+    private boolean mCheckDue;
+    private long mCheckedMs;
+
     /** The last heartbeat that the other VMs have endorsed; its lease expires by itself. */
     private Optional<ClockReading> mEndorsedHeartbeat = Optional.empty();
 
@@ -51,7 +69,18 @@
     private long mLastOutageMs;
     private boolean mResigned;
     private boolean mAssignedElsewhere;
-    private boolean mNamedAgain;
+
+    private record Naming(long generation, ClockReading sent) {}
+
+    /**
+     * A question to the group: whether this VM has held the cell without a break since a
+     * generation.
+     *
+     * @param fence fencing token of the term
+     * @param since the last generation for which that is known
+     * @param named the generation in which the group has named this VM
+     */
+    public record HoldCheck(long fence, long since, long named) {}
 
     private Membership(long leaseMs, ClockReading start) {
         mLeaseMs = leaseMs;
@@ -82,13 +111,13 @@
     /**
      * Takes the store's answer to a join.
      *
-     * <p>An answer that doesn't name this VM as the holder doesn't end its term. Whenever a VM
-     * joins or is dropped the group rebalances, and often names the same holder again a moment
-     * later. When the term was ended and begun again, it had to wait for a second until earlier
-     * leases had expired. If another VM is assigned the cell, its first heartbeat ends this term.
-     * If that VM is not heard, the authority of this VM ends one lease after the last answer that
-     * named it, and the other VM waits for that. If the cell is given back to this VM meanwhile,
-     * see {@link #namedAgain}.
+     * <p>An answer that names this VM renews its authority only in the generation for which its
+     * hold is proven. In a later one another VM may have held the cell in between, and may have
+     * extended leases; then {@link #holdCheck} asks the group. An answer that doesn't name this VM
+     * doesn't end its term: whenever a VM joins or is dropped the group rebalances, and often names
+     * the same holder again a moment later. If another VM is assigned the cell, its first heartbeat
+     * ends this term. If that VM is not heard, the authority of this VM ends one lease after the
+     * last proof, and the other VM waits for that.
      *
      * @param generation generation of the group
      * @param holds true when the cell is assigned to this VM
@@ -118,24 +147,85 @@
         mLastRenewal = sent;
         // An answer that arrives after the lease doesn't describe the present.
         boolean outdated = now.monotonicMs() - sent.monotonicMs() >= mLeaseMs;
-        mNamedAgain = holds && !outdated && mAssignedElsewhere && mFence != 0;
         mAssignedElsewhere = !holds;
+        mNaming = Optional.empty();
         if (holds && !outdated && !mResigned) {
-            hold(sent);
+            mNaming = Optional.of(new Naming(generation, sent));
+            named(generation, sent, now);
         }
         return changed;
     }
 
-    /** When the last join was sent whose answer named this VM as the holder. */
-    Optional<ClockReading> lastHeld() {
-        return mLastHeldRenewal;
+    private void named(long generation, ClockReading sent, ClockReading now) {
+        if (mFence == 0) {
+            beginTerm(now);
+        } else if (generation == mProvenGeneration) {
+            mLastHeldRenewal = Optional.of(sent);
+        } else {
+            HoldCheck check = new HoldCheck(mFence, mProvenGeneration, generation);
+            boolean repeated = mCheck.filter(check::equals).isPresent();
+            if (!repeated || now.monotonicMs() - mCheckedMs >= MIN_CHECK_INTERVAL_MS) {
+                mCheck = Optional.of(check);
+                mCheckedMs = now.monotonicMs();
+                mCheckDue = true;
+            }
+        }
     }
 
-    private void hold(ClockReading sent) {
-        mLastHeldRenewal = Optional.of(sent);
-        if (mFence == 0) {
-            mFence = mGeneration * TERMS_PER_GENERATION + mTermsOfGeneration++;
+    /**
+     * Begins a term if the group has just named this VM. The authority of an earlier term, and what
+     * others have endorsed in it, don't count.
+     */
+    private void beginTerm(ClockReading now) {
+        mFence = 0;
+        mCheck = Optional.empty();
+        mCheckDue = false;
+        mEndorsedHeartbeat = Optional.empty();
+        if (mNaming.filter(naming -> ageMs(naming.sent(), now) < mLeaseMs).isEmpty()) {
+            return;
         }
+        mProvenGeneration = mNaming.get().generation();
+        mLastHeldRenewal = Optional.of(mNaming.get().sent());
+        mFence = mGeneration * TERMS_PER_GENERATION + mTermsOfGeneration++;
+    }
+
+    private static long ageMs(ClockReading since, ClockReading now) {
+        return now.monotonicMs() - since.monotonicMs();
+    }
+
+    /** Returns once what the group has to be asked now. */
+    Optional<HoldCheck> takeHoldCheck() {
+        boolean due = mCheckDue;
+        mCheckDue = false;
+        return due ? mCheck : Optional.empty();
+    }
+
+    /**
+     * Takes the group's answer to a check. No answer proves nothing: the authority then ends by its
+     * lease.
+     *
+     * @param unbroken true when this VM has held the cell since the generation that was asked for;
+     *     otherwise the term ends, and another one begins if the group names this VM now
+     * @param sent when the check was sent
+     * @return true when the answer concerns the current term
+     */
+    public boolean holdChecked(
+            HoldCheck check, boolean unbroken, ClockReading sent, ClockReading now) {
+        if (mFence == 0 || check.fence() != mFence || check.since() < mProvenGeneration) {
+            return false;
+        }
+        if (!unbroken) {
+            beginTerm(now);
+        } else if (ageMs(sent, now) < mLeaseMs) {
+            mProvenGeneration = check.named();
+            mLastHeldRenewal = Optional.of(sent);
+        }
+        return true;
+    }
+
+    /** When the last call was sent whose answer proved that this VM holds the cell. */
+    Optional<ClockReading> lastHeld() {
+        return mLastHeldRenewal;
     }
 
     /**
@@ -149,6 +239,7 @@
     /** This VM leaves the group and no longer takes the cell. */
     public void resign() {
         mResigned = true;
+        mNaming = Optional.empty();
         mFence = 0;
     }
 
@@ -162,21 +253,15 @@
         return mAssignedElsewhere;
     }
 
-    /**
-     * True when the group's last answer names this VM again in a term in which the answer before
-     * didn't: another VM may have held the cell in between, and may act for a lease from now.
-     */
-    boolean namedAgain() {
-        return mNamedAgain;
-    }
-
     /** Ends the term, because another VM acts with a higher fencing token. */
     public void deposed() {
+        mNaming = Optional.empty();
         mFence = 0;
     }
 
     /**
-     * Ends the term if the membership may have expired.
+     * Ends the term if the membership may have expired. Another one begins if the group names this
+     * VM, and has only not told whether its hold was unbroken.
      *
      * @param clock the current time
      * @param endorsedHeartbeat when this VM sent the last heartbeat by which the other VMs let it
@@ -187,7 +272,7 @@
             mEndorsedHeartbeat = endorsedHeartbeat;
         }
         if (mFence != 0 && clock.monotonicMs() > exclusiveUntilMs(clock)) {
-            mFence = 0;
+            beginTerm(clock);
         }
     }
 
@@ -206,7 +291,7 @@
 
     /** Who makes sure that no other VM controls the cell. */
     enum Authority {
-        /** The store has named this VM as the holder within a lease. */
+        /** The store has proven within a lease that this VM holds the cell. */
         STORE,
 
         /** The other VMs have endorsed this VM within a lease. */
--- a/core/src/main/java/org/boragegap/core/cell/Term.java
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -138,17 +138,6 @@
         return (long) Math.ceil(leaseMs / Target.MIN_CLOCK_RATE);
     }
 
-    /**
-     * Another VM may have controlled the cell for a moment, and may act for a lease of the group
-     * from now, and extend the leases of targets for as long.
-     */
-    void namedAgain() {
-        mEarlierTermsEndMs = mNowMs + slowestMs(mGroupLeaseMs);
-        mTargets.values().forEach(target -> target.earlierLeaseUntil(mEarlierTermsEndMs));
-        String inputs = "fence=" + mFence + " term_age_ms=" + (mNowMs - mSinceMs);
-        log(Decision.self("named-again", inputs, "another VM may act for a lease"));
-    }
-
     /**
      * The latest time at which an earlier controller may act, and at which its leases end. The
      * group may assign the cell anew at once, and a controller that isn't told acts until the lease
--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -32,6 +32,7 @@
     private final NetworkDelays mDelays;
     final InvariantChecker mInvariants = new InvariantChecker();
     private final FakeGroup mGroup;
+    private final FakeHoldChecks mHoldChecks;
     private final List<FakeEntryVm> mVms = new ArrayList<>();
     private final SimulatedClock mClock = new SimulatedClock();
     final FakePlatform mPlatform;
@@ -67,6 +68,7 @@
         mRandom = new SplittableRandom(seed);
         mDelays = new NetworkDelays(mRandom);
         mGroup = new FakeGroup(mRandom.split(), groupLeaseMs);
+        mHoldChecks = new FakeHoldChecks(mClock, mDelays, seed);
         mPlatform = new FakePlatform(mClock, mRandom, mInvariants, trace);
         mOrders =
                 new OrderTransport(mClock, mRandom, mDelays, mRates, mPlatform, mInvariants, trace);
@@ -105,6 +107,19 @@
         return playZoneCuts();
     }
 
+    /**
+     * Simulates the same with pauses that are longer than a lease: a VM that the group has named
+     * settles, while the one that was named after it acts.
+     */
+    List<String> playSplitsWithPairsOfReassignments() {
+        mNetwork.keepStore();
+        for (long at = 1_700; at < FAULTS_UNTIL_MS; at += 1_300 + mRandom.nextLong(1_000)) {
+            after(at, mGroup::rebalance);
+            after(at + 300 + mRandom.nextLong(700), mGroup::rebalance);
+        }
+        return playZoneCuts();
+    }
+
     /** Simulates callers without any failure but those that are scheduled. */
     List<String> playJobs() {
         scheduleJobs();
@@ -331,6 +346,14 @@
         after(mDelays.storeMs(), () -> feed(vm, incarnation, joined));
     }
 
+    private void checkHold(FakeEntryVm vm, int incarnation, Membership.HoldCheck check) {
+        if (mNetwork.reachesStore(vm)) {
+            String member = vm.mAddress + "/" + incarnation;
+            mHoldChecks.send(
+                    mGroup, member, check, clock(vm), answer -> feed(vm, incarnation, answer));
+        }
+    }
+
     private void pollMembers(FakeEntryVm vm, int incarnation) {
         inIncarnation(
                 vm,
@@ -417,6 +440,8 @@
             }
         } else if (action instanceof MemberAction.ReadMembers) {
             readMembers(vm, incarnation);
+        } else if (action instanceof MemberAction.CheckHold check) {
+            checkHold(vm, incarnation, check.check());
         } else if (action instanceof MemberAction.Rejoin) {
             join(vm, incarnation, false);
         }
--- a/core/src/test/java/org/boragegap/core/cell/CellMemberTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellMemberTest.java
@@ -107,6 +107,41 @@
         }
     }
 
+    /** The group names the controller in a later generation. */
+    @Nested
+    final class IsNamedAgain {
+        private long mFirst;
+
+        private Membership.HoldCheck check() {
+            join(0, 3, true, "vm2");
+            mFirst = mMember.fence().get();
+            mActions.clear();
+            feed(250, new MemberEvent.Joined(5, true, at(250)));
+            return mActions.stream()
+                    .filter(MemberAction.CheckHold.class::isInstance)
+                    .map(action -> ((MemberAction.CheckHold) action).check())
+                    .toList()
+                    .get(0);
+        }
+
+        /** Guards against a term that goes on although another VM may have acted in it. */
+        @Test
+        void beginsAnotherTermIfItsHoldWasBroken() {
+            feed(260, new MemberEvent.HoldChecked(check(), false, at(252)));
+            assertThat(mMember.fence().get()).isGreaterThan(mFirst);
+            assertThat(mMember.wantsCell()).isTrue();
+            // Its followers would take that for a cell without a controller.
+            assertThat(sent("vm2", CellMessage.Leaving.class)).isEmpty();
+        }
+
+        /** Guards against callers that wait for a new term whenever a VM comes or goes. */
+        @Test
+        void goesOnIfItsHoldIsUnbroken() {
+            feed(260, new MemberEvent.HoldChecked(check(), true, at(252)));
+            assertThat(mMember.fence()).hasValue(mFirst);
+        }
+    }
+
     /** The group assigns the cell to a VM that is no longer a candidate. */
     @Nested
     final class IsAssignedTheCell {
--- a/core/src/test/java/org/boragegap/core/cell/HistoryKind.java
+++ b/core/src/test/java/org/boragegap/core/cell/HistoryKind.java
@@ -48,6 +48,14 @@
                 history.mOrders.longRunMs(HistoryKind.LONG_RUN_MS);
                 return history.playSplitsWithReassignments();
             }),
+
+    /** The same, with pauses after each two, in which a VM that was named can settle. */
+    SPLITS_WITH_PAIRS_OF_REASSIGNMENTS(
+            CellHistory::withZones,
+            history -> {
+                history.mOrders.longRunMs(HistoryKind.LONG_RUN_MS);
+                return history.playSplitsWithPairsOfReassignments();
+            }),
     OUTAGES_WITH_LOSSES(
             CellHistory::withZones,
             history -> {
--- a/core/src/test/java/org/boragegap/core/cell/LoanHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/LoanHistory.java
@@ -30,6 +30,7 @@
 
     private final SplittableRandom mRandom;
     private final NetworkDelays mDelays;
+    private final FakeHoldChecks mHoldChecks;
     final InvariantChecker mInvariants = new InvariantChecker();
     private final List<FakeGroup> mGroups = new ArrayList<>();
     private final List<FakeEntryVm> mVms = new ArrayList<>();
@@ -48,6 +49,7 @@
         mTrace = trace;
         mRandom = new SplittableRandom(seed);
         mDelays = new NetworkDelays(mRandom);
+        mHoldChecks = new FakeHoldChecks(mClock, mDelays, seed);
         mPlatform = new FakePlatform(mClock, mRandom, mInvariants, TARGETS, trace);
         mOrders =
                 new OrderTransport(mClock, mRandom, mDelays, mRates, mPlatform, mInvariants, trace);
@@ -192,6 +194,17 @@
                 });
     }
 
+    private void checkHold(FakeEntryVm vm, int incarnation, int cell, Membership.HoldCheck check) {
+        if (reachesStore(vm)) {
+            mHoldChecks.send(
+                    mGroups.get(cell),
+                    vm.mAddress + "/" + incarnation,
+                    check,
+                    vm.clock(mClock.nowMs()),
+                    answer -> feed(vm, incarnation, cell, answer));
+        }
+    }
+
     private void readMembers(FakeEntryVm vm, int incarnation, int cell) {
         if (!reachesStore(vm)) {
             return;
@@ -234,6 +247,8 @@
             after(2 * mDelays.peerMs(), () -> readTargets(vm, incarnation, cell));
         } else if (action instanceof MemberAction.ReadMembers) {
             readMembers(vm, incarnation, cell);
+        } else if (action instanceof MemberAction.CheckHold check) {
+            checkHold(vm, incarnation, cell, check.check());
         } else if (action instanceof MemberAction.Rejoin) {
             join(vm, incarnation, cell);
         }
--- a/entry/src/main/java/org/boragegap/entry/cell/CellMemberDriver.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellMemberDriver.java
@@ -95,6 +95,8 @@
             mOutput.watchTargets(watch.watch());
         } else if (action instanceof MemberAction.ReadMembers) {
             mOutput.readMembers();
+        } else if (action instanceof MemberAction.CheckHold check) {
+            mOutput.checkHold(check.check());
         } else if (action instanceof MemberAction.Rejoin) {
             mOutput.rejoin();
         } else if (action instanceof MemberAction.Log log) {
--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -24,6 +24,7 @@
 import org.boragegap.core.cell.EntryAction;
 import org.boragegap.core.cell.EntryEvent;
 import org.boragegap.core.cell.MemberEvent;
+import org.boragegap.core.cell.Membership;
 import org.boragegap.core.cell.TargetInfo;
 import org.boragegap.core.loan.LenderDirectory;
 import org.boragegap.entry.Setting;
@@ -485,6 +486,17 @@
             mTimer.execute(mGroup::readMembers);
         }
 
+        @Override
+        public void checkHold(Membership.HoldCheck check) {
+            mGroup.checkHold(
+                    mCell,
+                    check.since(),
+                    (unbroken, sent) -> {
+                        MemberEvent answer = new MemberEvent.HoldChecked(check, unbroken, sent);
+                        mThread.post(() -> mCells.on(mCell, answer));
+                    });
+        }
+
         @Override
         public void rejoin() {
             mTimer.execute(mGroup::join);
--- a/entry/src/main/java/org/boragegap/entry/cell/CellOutput.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellOutput.java
@@ -3,6 +3,7 @@
 import org.boragegap.core.cell.CellAction;
 import org.boragegap.core.cell.CellMessage;
 import org.boragegap.core.cell.EntryAction;
+import org.boragegap.core.cell.Membership;
 
 /** Executes what the control state wants done outside its thread. No method blocks. */
 interface CellOutput {
@@ -30,6 +31,9 @@
     /** Reads the list of the group's members at once. */
     void readMembers();
 
+    /** Asks the group whether this VM has held the cell without a break. */
+    void checkHold(Membership.HoldCheck check);
+
     /** Joins the group again at once, so that the store can continue to assign the cells. */
     void rejoin();
 }
--- a/entry/src/main/java/org/boragegap/entry/cell/GroupMembership.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/GroupMembership.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -179,6 +180,38 @@
         return cells;
     }
 
+    /**
+     * Asks the store whether this VM has held a cell without a break.
+     *
+     * @param sinceGeneration generation since which it has held the cell as far as is known
+     * @param done receives the answer and when the question was sent; is not called without answer
+     */
+    void checkHold(int cell, long sinceGeneration, BiConsumer<Boolean, ClockReading> done) {
+        if (mLeft) {
+            return;
+        }
+        ClockReading sent = ControlThread.clock();
+        mStore.checkHold(
+                GROUP,
+                mMemberName,
+                CELL_TOPIC_PREFIX + cell,
+                sinceGeneration,
+                ANSWER_TIMEOUT_MS,
+                result -> holdChecked(cell, result, sent, done));
+    }
+
+    private static void holdChecked(
+            int cell,
+            StoreResult<Boolean> result,
+            ClockReading sent,
+            BiConsumer<Boolean, ClockReading> done) {
+        if (result instanceof StoreResult.Success<Boolean> answer) {
+            done.accept(answer.value(), sent);
+        } else {
+            sLog.warn("cell {}: no answer whether it was held without a break: {}", cell, result);
+        }
+    }
+
     /**
      * Reads the members, at once or when {@link #MIN_READ_INTERVAL_MS} has passed since the last
      * read. Each cell without contact with its controller requests it; without this limit, eight
--- a/standin/src/main/java/org/boragegap/standin/StoreStandin.java
+++ b/standin/src/main/java/org/boragegap/standin/StoreStandin.java
@@ -29,6 +29,7 @@
 public final class StoreStandin implements Standin {
     private static final int MAX_BODY_BYTES = 1024 * 1024;
     private static final int OK = 200;
+    private static final int CONFLICT = 409;
     private static final int GONE = 410;
     private static final int UNAVAILABLE = 503;
     private static final int NOT_FOUND = 404;
@@ -121,6 +122,7 @@
         try {
             switch (request.path()) {
                 case "/log-join" -> request.reply(OK, join(PlatformJson.tree(request.body())));
+                case "/log-commit" -> commit(request, PlatformJson.tree(request.body()));
                 case "/log-leave" -> request.reply(OK, leave(PlatformJson.tree(request.body())));
                 case "/log-owners" -> request.reply(OK, owners());
                 case "/log-newest" -> request.reply(OK, newest(request.query("Topic").orElse("")));
@@ -176,6 +178,18 @@
         return answer.toString();
     }
 
+    private synchronized void commit(IncomingRequest request, JsonNode body) {
+        ConsumerGroup.Partition partition =
+                new ConsumerGroup.Partition(body.path("Topic").asText(), body.path("part").asInt());
+        boolean accepted =
+                mGroup.commit(
+                        body.path("Member").asText(),
+                        partition,
+                        body.path("Generation").asLong(),
+                        nowMs());
+        request.reply(accepted ? OK : CONFLICT, "{}");
+    }
+
     private synchronized String leave(JsonNode body) {
         mGroup.leave(body.path("Member").asText());
         return "{}";
--- a/standin/src/test/java/org/boragegap/standin/ConsumerGroupTest.java
+++ b/standin/src/test/java/org/boragegap/standin/ConsumerGroupTest.java
@@ -23,6 +23,44 @@
         return Set.copyOf(mGroup.owners(nowMs).stream().map(ConsumerGroup.Row::member).toList());
     }
 
+    @Nested
+    final class Commit {
+        private static final ConsumerGroup.Partition FIRST =
+                new ConsumerGroup.Partition("cell-0", 0);
+
+        private boolean accepted(String member, long generation, long nowMs) {
+            return mGroup.commit(member, FIRST, generation, nowMs);
+        }
+
+        /** A holder that keeps a partition while others come and go must not lose its proof. */
+        @Test
+        void isAcceptedWhileThePartitionIsHeld() {
+            long first = join("a", 0, 0).generation();
+            join("b", 0, 10);
+            mGroup.leave("b");
+            assertThat(accepted("a", first, 20)).isTrue();
+        }
+
+        /** A partition that was reassigned in between must not count as held all the while. */
+        @Test
+        void isRefusedWithAGenerationFromBeforeItHeldIt() {
+            long first = join("a", 0, 0).generation();
+            mGroup.reassignAtOnce(new SplittableRandom(1));
+            long second = join("a", first, 10).generation();
+            assertThat(accepted("a", first, 20)).isFalse();
+            assertThat(accepted("a", second, 20)).isTrue();
+        }
+
+        /** A member that doesn't hold the partition must not be taken for its holder. */
+        @Test
+        void isRefusedToOtherMembers() {
+            long first = join("a", 0, 0).generation();
+            join("b", 0, 10);
+            assertThat(accepted("b", first, 20)).isFalse();
+            assertThat(accepted("a", first, LEASE_MS + 30)).isFalse();
+        }
+    }
+
     @Nested
     final class Transfer {
         /** A partition must not have two holders: the next one waits for the earlier one's join. */
