A term settles by the clock only with proof from after the earlier leases' end

Cause: a term counts the authority of others from its own beginning. That covers terms that began before it, not one that begins while it waits: that one extends the leases of what it still reaches, and the waiting term, within its own lease, takes them for over. A settled term already asked for confirmation before it took a silent target's lease for expired (Term.confirmedMs); the settlement didn't.

Change: earlier terms are over once the hold is proven after their end (Term.earlierTermsOver); a controller that only waits for that joins at once, not after up to 250 ms. ScriptedCell confirms for the lease of the group that a test sets; two tests with 3 s had confirmed for 1 s.

--- a/core/src/main/java/org/boragegap/core/cell/CellController.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellController.java
@@ -144,6 +144,11 @@
                 mLoans.map(CellLoans::borrowed).orElse(0));
     }
 
+    /** True when this VM should ask the group at once whether it still holds the cell. */
+    boolean awaitsConfirmation() {
+        return mTerm != null && mSettlement.awaitsConfirmation();
+    }
+
     /**
      * Sets the time until which no other VM can control the cell, on the monotonic clock, in ms.
      * Has to be called before each event. No lease lasts longer, so the next controller knows when
--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -21,6 +21,9 @@
     /** Same, while no controller is heard; the group drops a silent member after a second. */
     private static final long MISSING_READ_INTERVAL_MS = 400;
 
+    /** Time between two joins of a controller that waits for the group to confirm it, in ms. */
+    private static final long CONFIRMATION_INTERVAL_MS = 50;
+
     private final String mSelf;
     private final int mCell;
     private final HeardLenders mLenders;
@@ -39,6 +42,7 @@
     private final ControllerSearch mSearch;
     private final StartRecordExchange mRecords;
     private long mMembersReadMs;
+    private long mConfirmationAskedMs;
     private ClockReading mClock;
     private List<MemberAction> mActions;
 
@@ -332,6 +336,11 @@
             if (!predecessorsKnown && nowMs - mMembersReadMs >= UNSETTLED_READ_INTERVAL_MS) {
                 readMembers();
             }
+            if (mController.awaitsConfirmation()
+                    && nowMs - mConfirmationAskedMs >= CONFIRMATION_INTERVAL_MS) {
+                mConfirmationAskedMs = nowMs;
+                mActions.add(new MemberAction.Rejoin());
+            }
             if (mHeartbeats.isDue(predecessorsKnown, mFollowers.peers().size(), nowMs)) {
                 sendHeartbeat();
             }
--- a/core/src/main/java/org/boragegap/core/cell/Settlement.java
+++ b/core/src/main/java/org/boragegap/core/cell/Settlement.java
@@ -48,6 +48,11 @@
         return mEvidence != Evidence.NONE;
     }
 
+    /** True when the term can be settled as soon as the group confirms it. */
+    boolean awaitsConfirmation() {
+        return !settled() && mTerm.awaitsConfirmation();
+    }
+
     /** Settles the term if enough is known now; returns true when it is settled. */
     boolean update() {
         if (!settled()) {
--- a/core/src/main/java/org/boragegap/core/cell/Term.java
+++ b/core/src/main/java/org/boragegap/core/cell/Term.java
@@ -149,10 +149,16 @@
 
     /**
      * True when nothing that an earlier controller started can still run on a target that has not
-     * reported.
+     * reported. It must be certain that this VM was the only one until then: a later controller may
+     * have extended the leases before they ended.
      */
     boolean earlierTermsOver() {
-        return mNowMs > mEarlierTermsEndMs + ORDER_IN_FLIGHT_MS;
+        return confirmedMs() > mEarlierTermsEndMs + ORDER_IN_FLIGHT_MS;
+    }
+
+    /** True when only a confirmation of the term is missing for {@link #earlierTermsOver}. */
+    boolean awaitsConfirmation() {
+        return !earlierTermsOver() && mNowMs > mEarlierTermsEndMs + ORDER_IN_FLIGHT_MS;
     }
 
     /** The latest time at which a lease that an earlier controller granted just now may end. */
--- a/core/src/test/java/org/boragegap/core/cell/ReassignedCellProperties.java
+++ b/core/src/test/java/org/boragegap/core/cell/ReassignedCellProperties.java
@@ -40,6 +40,14 @@
         assertHolds(HistoryKind.SPLITS_WITH_PAIRS_OF_REASSIGNMENTS, seed);
     }
 
+    /** Guards against a VM that settles by the clock while a later term extends the leases. */
+    @Example
+    void noTaskRunsTwiceWhenAVmSettlesBesideALaterTerm() {
+        for (long seed : new long[] {94_011_173, 94_015_348}) {
+            assertHolds(HistoryKind.SPLITS_WITH_PAIRS_OF_REASSIGNMENTS, seed);
+        }
+    }
+
     /** Guards against VMs that are named in turn: seeds of histories in which a task ran twice. */
     @Example
     void noTaskRunsTwiceWhenAVmIsNamedAgain() {
--- a/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
+++ b/core/src/test/java/org/boragegap/core/cell/ScriptedCell.java
@@ -12,6 +12,7 @@
     private static final long BUDGET_MS = 1_500;
     private static final long LEASE_MS = 1_000;
 
+    private long mGroupLeaseMs = LEASE_MS;
     private final CellController mController = CellController.create(new CellSettings(LEASE_MS, 2));
     private final List<CellAction> mActions = new ArrayList<>();
     private long mNextOfferNumber = 1;
@@ -50,13 +51,19 @@
         return mController;
     }
 
+    /** Sets the lease of the group, for which each confirmation is valid. */
+    void groupLeaseMs(long leaseMs) {
+        mGroupLeaseMs = leaseMs;
+        mController.groupLeaseMs(leaseMs);
+    }
+
     /** No later event finds the term confirmed after this time; by default each one does. */
     void lastConfirmed(long ms) {
         mLastConfirmedMs = ms;
     }
 
     void on(long ms, CellEvent event) {
-        mController.exclusiveUntil(Math.min(ms, mLastConfirmedMs) + LEASE_MS);
+        mController.exclusiveUntil(Math.min(ms, mLastConfirmedMs) + mGroupLeaseMs);
         mController.on(event, new ClockReading(ms, ms), mActions);
     }
 
--- a/core/src/test/java/org/boragegap/core/cell/SettlementTest.java
+++ b/core/src/test/java/org/boragegap/core/cell/SettlementTest.java
@@ -74,7 +74,7 @@
          */
         @Test
         void isWaitedForUntilTheLeaseOfTheGroupHasExpired() {
-            mCell.controller().groupLeaseMs(3_000);
+            mCell.groupLeaseMs(3_000);
             begin(FREE, BUSY);
             assertStartsOnlyAfterALeaseOf3S();
         }
@@ -85,12 +85,25 @@
          */
         @Test
         void isWaitedForIfItIsNoLongerListed() {
-            mCell.controller().groupLeaseMs(3_000);
+            mCell.groupLeaseMs(3_000);
             begin(FREE, BUSY);
             mCell.listed(6, FREE);
             assertStartsOnlyAfterALeaseOf3S();
         }
 
+        /** Guards against leases that a later controller extends before they have expired. */
+        @Test
+        void isWaitedForUntilTheTermIsConfirmedAfterThat() {
+            begin(FREE, BUSY);
+            mCell.lastConfirmed(1_120);
+            mCell.ticks(10, 1_250);
+            assertThat(mCell.starts()).isEmpty();
+            assertThat(mCell.controller().awaitsConfirmation()).isTrue();
+            mCell.lastConfirmed(1_260);
+            mCell.ticks(1_260, 1_260);
+            assertThat(mCell.startedOn()).containsExactly("t1");
+        }
+
         /** Guards against a lost connection that is taken for the end of what runs there. */
         @Test
         void isWaitedForWhenNoConnectionIsEstablished() {
