Numbers of a job are decoded once, and a need is never negative

A Count of 4,294,967,298 was answered completed after two tasks.

Cause: JobProtocol.step kept the low 32 bits of a number, and Target.add took the negative need as room.

Change: WholeNumber decodes whole numbers of 0 or more, of any length; what is larger than its type counts as the largest number, which no target's entry may state, so that the controller refuses the job at once as any other that no target can hold. The same cause in the configuration, in answers of targets and in sums over targets and tasks (Target, CellLoans, TargetBorrower).

--- a/core/src/main/java/org/boragegap/core/cell/CellLoans.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellLoans.java
@@ -277,8 +277,8 @@
         if (largestCpu == 0) {
             return new TargetBorrower.Demand(0, 0, 0, 0);
         }
-        int ownCpu = 0;
-        int freeCpu = 0;
+        long ownCpu = 0;
+        long freeCpu = 0;
         for (Target target : mTerm.targets().values()) {
             if (!target.info().service().equals(service)) {
                 continue;
@@ -301,8 +301,8 @@
         return usable && answers && (leased || !target.reported());
     }
 
-    private int waitingCpu(String service) {
-        int waitingCpu = 0;
+    private long waitingCpu(String service) {
+        long waitingCpu = 0;
         for (CellJob job : mTerm.waiting()) {
             if (!job.abandoned() && job.request().service().equals(service)) {
                 for (CellTask task : job.readyTasks()) {
@@ -344,7 +344,7 @@
 
     /** True when the cell would have to borrow again if it returned the idle target. */
     private static boolean isNeeded(Target target, TargetBorrower.Demand demand) {
-        int freeCpu = demand.freeCpu() - target.info().cpuMillis();
+        long freeCpu = demand.freeCpu() - target.info().cpuMillis();
         return new TargetBorrower.Demand(
                                 demand.ownCpu(),
                                 freeCpu,
--- a/core/src/main/java/org/boragegap/core/cell/JobRequest.java
+++ b/core/src/main/java/org/boragegap/core/cell/JobRequest.java
@@ -27,4 +27,17 @@
         long objectiveBaseMs,
         String spec,
         List<StepRequest> steps,
-        long configVersion) {}
+        long configVersion) {
+
+    /** Rejects steps that depend on themselves or on later ones, which could never begin. */
+    public JobRequest {
+        for (int step = 0; step < steps.size(); step++) {
+            for (int earlier : steps.get(step).dependsOn()) {
+                if (earlier < 0 || earlier >= step) {
+                    throw new IllegalArgumentException(
+                            "step " + step + " depends on step " + earlier);
+                }
+            }
+        }
+    }
+}
--- a/core/src/main/java/org/boragegap/core/cell/StepRequest.java
+++ b/core/src/main/java/org/boragegap/core/cell/StepRequest.java
@@ -27,6 +27,21 @@
         Optional<String> preferredRack,
         int maxPerTarget) {
 
+    /** Rejects what would give a target room, or a task before its time. */
+    public StepRequest {
+        if (count < 1) {
+            throw new IllegalArgumentException("a step has " + count + " tasks");
+        }
+        if (cpuMillis < 0 || memoryMb < 0 || accelerators < 0) {
+            throw new IllegalArgumentException(
+                    "a task needs " + cpuMillis + ", " + memoryMb + ", " + accelerators);
+        }
+        if (estimateMs < 0 || maxPerTarget < 0) {
+            throw new IllegalArgumentException(
+                    "a step has the estimate " + estimateMs + " and the limit " + maxPerTarget);
+        }
+    }
+
     /** Creates a step whose tasks need only processor time. */
     public static StepRequest cpuOnly(int count, int cpuMillis, long estimateMs) {
         return new StepRequest(
--- a/core/src/main/java/org/boragegap/core/cell/Target.java
+++ b/core/src/main/java/org/boragegap/core/cell/Target.java
@@ -36,9 +36,9 @@
     /** Runs whose start was ordered from an earlier incarnation; see {@link UnansweredStarts}. */
     private final Set<Run> mCarriedOver = new HashSet<>();
 
-    private int mUsedCpu;
-    private int mUsedMemory;
-    private int mUsedAccelerators;
+    private long mUsedCpu;
+    private long mUsedMemory;
+    private long mUsedAccelerators;
     private boolean mReported;
     private boolean mLost;
     private long mClockMs;
@@ -246,7 +246,7 @@
     }
 
     int freeCpu() {
-        return mInfo.cpuMillis() - mUsedCpu;
+        return (int) Math.max(Integer.MIN_VALUE, mInfo.cpuMillis() - mUsedCpu);
     }
 
     boolean fits(StepRequest step) {
--- a/core/src/main/java/org/boragegap/core/loan/TargetBorrower.java
+++ b/core/src/main/java/org/boragegap/core/loan/TargetBorrower.java
@@ -41,14 +41,15 @@
      * @param waitingCpu processor that waiting tasks need
      * @param largestTaskCpu processor that its largest task needs; 0 if it has no jobs
      */
-    public record Demand(int ownCpu, int freeCpu, int waitingCpu, int largestTaskCpu) {
+    public record Demand(long ownCpu, long freeCpu, long waitingCpu, int largestTaskCpu) {
         /** Processor that is missing; 0 if the cell needs no loan. */
         public int missingCpu() {
             if (largestTaskCpu == 0) {
                 return 0;
             }
-            int reserveCpu = ownCpu / MIN_FREE_DIVISOR - freeCpu;
-            return Math.max(0, Math.max(waitingCpu - freeCpu, reserveCpu));
+            long reserveCpu = ownCpu / MIN_FREE_DIVISOR - freeCpu;
+            long missingCpu = Math.max(0, Math.max(waitingCpu - freeCpu, reserveCpu));
+            return (int) Math.min(Integer.MAX_VALUE, missingCpu);
         }
     }
 
--- a/entry/src/main/java/org/boragegap/entry/cell/JobApi.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/JobApi.java
@@ -151,14 +151,19 @@
             refuse(in, id, JobProtocol.unavailable(unserved.reason()));
             return;
         }
+        if (decoded instanceof JobProtocol.Decoded.TooLarge tooLarge) {
+            refuse(in, id, JobProtocol.refused(tooLarge.reason()));
+            return;
+        }
         OptionalInt cell = mCallbacks.cellOfJob(id);
         if (cell.isEmpty()) {
             refuse(in, id, JobProtocol.unavailable("the layout of the cells is not known yet"));
             return;
         }
+        long budgetMs =
+                JobProtocol.budgetMs(in.header(JobProtocol.BUDGET_HEADER), route.timeoutMs());
         long ticket = mNextTicket.getAndIncrement();
         mCallers.put(ticket, new Caller(in, cell.getAsInt()));
-        long budgetMs = budgetMs(in, route);
         mCallbacks.on(
                 cell.getAsInt(),
                 new EntryEvent.Submitted(
@@ -166,17 +171,6 @@
         in.onClosedBeforeReply(() -> callerLeft(ticket));
     }
 
-    private static long budgetMs(IncomingRequest in, Configuration.Route route) {
-        try {
-            return in.header(JobProtocol.BUDGET_HEADER)
-                    .map(Long::parseLong)
-                    .orElse(route.timeoutMs());
-        } catch (NumberFormatException e) {
-            sLog.debug("ignoring a time budget that is not a number: {}", e.getMessage());
-            return route.timeoutMs();
-        }
-    }
-
     private void callerLeft(long ticket) {
         Caller caller = mCallers.remove(ticket);
         if (caller != null) {
