--- a/entry/src/main/java/org/boragegap/entry/cell/GroupMembership.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/GroupMembership.java
@@ -9,9 +9,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.boragegap.core.ClockReading;
+import org.boragegap.http.HostAndPort;
 import org.boragegap.http.HttpClient;
 import org.boragegap.platform.GroupAssignment;
 import org.boragegap.platform.GroupMember;
@@ -26,6 +29,8 @@
     /** Each cell has a topic with this prefix; the holder of its partition 0 holds the cell. */
     private static final String CELL_TOPIC_PREFIX = "cell-";
 
+    private static final Pattern CELL_TOPIC = Pattern.compile(CELL_TOPIC_PREFIX + "([0-9]{1,4})");
+
     /**
      * Further topics, so that each member holds some partition: only those that do are listed. With
      * twelve partitions each, they are enough for sixty entry VMs.
@@ -172,9 +177,9 @@
     private static Set<Integer> assignedCells(GroupAssignment share) {
         Set<Integer> cells = new HashSet<>();
         for (GroupAssignment.Partition partition : share.partitions()) {
-            if (partition.topic().startsWith(CELL_TOPIC_PREFIX) && partition.number() == 0) {
-                cells.add(
-                        Integer.parseInt(partition.topic().substring(CELL_TOPIC_PREFIX.length())));
+            Matcher cell = CELL_TOPIC.matcher(partition.topic());
+            if (cell.matches() && partition.number() == 0) {
+                cells.add(Integer.parseInt(cell.group(1)));
             }
         }
         return cells;
@@ -249,8 +254,9 @@
         Set<String> members = new HashSet<>();
         for (GroupMember member : good.value()) {
             int addressEnd = member.member().indexOf(NAME_SEPARATOR);
-            if (addressEnd > 0) {
-                peers.add(member.member().substring(0, addressEnd));
+            String address = member.member().substring(0, Math.max(0, addressEnd));
+            if (HostAndPort.isValid(address)) {
+                peers.add(address);
                 members.add(member.member());
             }
         }
