Records that can't be handled don't end the watch of a topic

What was seen: a listener that throws ended the watch of its topic without a line.

Cause: the exception ended the task that would have scheduled the next read.

Change: the exception is logged, the watch goes on.

--- a/entry/src/main/java/org/boragegap/entry/cell/TopicWatcher.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/TopicWatcher.java
@@ -117,7 +117,7 @@
         mRecords.clear();
         mRecords.putAll(mSnapshot);
         mNextOffset = mSnapshotEnd;
-        mListener.accept(Map.copyOf(mRecords));
+        notifyListener();
         scheduleRead(epoch);
     }
 
@@ -159,11 +159,20 @@
         mNextOffset = page.next();
         if (!page.records().isEmpty()) {
             apply(page, mRecords);
-            mListener.accept(Map.copyOf(mRecords));
+            notifyListener();
         }
         scheduleRead(epoch);
     }
 
+    private void notifyListener() {
+        try {
+            mListener.accept(Map.copyOf(mRecords));
+        } catch (RuntimeException e) {
+            // Records that can't be handled must not end the watch, and with it all later ones.
+            sLog.error("records of topic {} can't be handled", mTopic, e);
+        }
+    }
+
     private static void apply(KeyedPage page, Map<String, byte[]> records) {
         for (KeyedRecord record : page.records()) {
             if (record.deleted()) {
