HoldProofs takes the group's proofs out of CellMember; histories of splits share one method

Change: HoldProofs asks for proofs, takes the answers and joins at once when only a confirmation is missing; the patterns of rebalances stand in FakeGroup, drawn in the same order. No change of what is decided.

--- a/core/src/main/java/org/boragegap/core/cell/CellMember.java
+++ b/core/src/main/java/org/boragegap/core/cell/CellMember.java
@@ -5,7 +5,6 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.boragegap.core.ClockReading;
 import org.boragegap.core.loan.LenderDirectory;
 import org.boragegap.core.records.KnownRecords;
@@ -21,9 +20,6 @@
     /** Same, while no controller is heard; the group drops a silent member after a second. */
     private static final long MISSING_READ_INTERVAL_MS = 400;
 
-    /** Time between two joins of a controller that waits for the group to confirm it, in ms. */
-    private static final long CONFIRMATION_INTERVAL_MS = 50;
-
     private final String mSelf;
     private final int mCell;
     private final HeardLenders mLenders;
@@ -41,8 +37,8 @@
     private final HeartbeatReplies mReplies;
     private final ControllerSearch mSearch;
     private final StartRecordExchange mRecords;
+    private final HoldProofs mProofs;
     private long mMembersReadMs;
-    private long mConfirmationAskedMs;
     private ClockReading mClock;
     private List<MemberAction> mActions;
 
@@ -58,6 +54,7 @@
         mRecords = new StartRecordExchange(self, mPendingJobs, mController, known, start);
         mMembership = Membership.create(groupLeaseMs, start);
         mAuthority = new ControllerAuthority(mMembership, mFollowers);
+        mProofs = new HoldProofs(mMembership, mController);
         mReplies = new HeartbeatReplies(mMembership, mPredecessors, mTargets);
         mSearch = new ControllerSearch(self, cell, mMembership, mPendingJobs, mFollowers, mTiming);
     }
@@ -171,7 +168,8 @@
         if (event instanceof MemberEvent.Joined joined) {
             joined(joined);
         } else if (event instanceof MemberEvent.HoldChecked checked) {
-            holdChecked(checked);
+            mProofs.checked(checked, mClock).ifPresent(this::log);
+            updateTerm();
         } else if (event instanceof MemberEvent.PeerProcessorKnown known) {
             mHeartbeats.peerCpuMillis(known.medianCpuMillis());
         } else if (event instanceof MemberEvent.PeersListed listed) {
@@ -199,9 +197,7 @@
                         && !mSearch.hearsAnotherController(wantsCell(), mClock.monotonicMs());
         boolean again = mMembership.joined(joined.generation(), holds, joined.sent(), mClock);
         updateTerm();
-        mMembership
-                .takeHoldCheck()
-                .ifPresent(check -> mActions.add(new MemberAction.CheckHold(check)));
+        mProofs.joined(mActions);
         if (mMembership.recentlyJoined(mClock)) {
             readMembers();
         }
@@ -210,14 +206,6 @@
         }
     }
 
-    private void holdChecked(MemberEvent.HoldChecked checked) {
-        Membership.HoldCheck check = checked.check();
-        if (mMembership.holdChecked(check, checked.unbroken(), checked.sent(), mClock)) {
-            log(ControllerAuthority.holdChecked(checked, mClock));
-            updateTerm();
-        }
-    }
-
     private void peersListed(MemberEvent.PeersListed listed) {
         mFollowers.updatePeers(listed.peers(), mClock.monotonicMs());
         mRecords.membersListed(listed, mClock.monotonicMs());
@@ -280,14 +268,12 @@
 
     /** Checks whether tasks of an earlier controller may still be running. */
     private void checkPredecessors() {
-        Set<String> peers = mFollowers.peers();
         if (!mPredecessors.update(mMembership.sawNoOutage(mClock), mClock.monotonicMs())) {
             return;
         }
-        Predecessors.Knowledge knowledge = mPredecessors.known();
         long fence = mController.fence().orElse(0L);
-        log(mPredecessors.decision(fence, peers, mClock.monotonicMs()));
-        if (knowledge.isSufficient()) {
+        log(mPredecessors.decision(fence, mFollowers.peers(), mClock.monotonicMs()));
+        if (mPredecessors.known().isSufficient()) {
             toController(new CellEvent.PredecessorsKnown());
         }
     }
@@ -336,11 +322,7 @@
             if (!predecessorsKnown && nowMs - mMembersReadMs >= UNSETTLED_READ_INTERVAL_MS) {
                 readMembers();
             }
-            if (mController.awaitsConfirmation()
-                    && nowMs - mConfirmationAskedMs >= CONFIRMATION_INTERVAL_MS) {
-                mConfirmationAskedMs = nowMs;
-                mActions.add(new MemberAction.Rejoin());
-            }
+            mProofs.tick(nowMs, mActions);
             if (mHeartbeats.isDue(predecessorsKnown, mFollowers.peers().size(), nowMs)) {
                 sendHeartbeat();
             }
@@ -368,8 +350,7 @@
 
     private CellMessage.Heartbeat heartbeat(long fence) {
         long periodMs = mHeartbeats.periodMs(mFollowers.peers().size());
-        int lendable = mController.lendableTargets();
-        return new CellMessage.Heartbeat(fence, mClock, periodMs, lendable);
+        return new CellMessage.Heartbeat(fence, mClock, periodMs, mController.lendableTargets());
     }
 
     // Messages
--- a/core/src/main/java/org/boragegap/core/cell/Membership.java
+++ b/core/src/main/java/org/boragegap/core/cell/Membership.java
@@ -113,11 +113,11 @@
      *
      * <p>An answer that names this VM renews its authority only in the generation for which its
      * hold is proven. In a later one another VM may have held the cell in between, and may have
-     * extended leases; then {@link #holdCheck} asks the group. An answer that doesn't name this VM
-     * doesn't end its term: whenever a VM joins or is dropped the group rebalances, and often names
-     * the same holder again a moment later. If another VM is assigned the cell, its first heartbeat
-     * ends this term. If that VM is not heard, the authority of this VM ends one lease after the
-     * last proof, and the other VM waits for that.
+     * extended leases; then {@link #takeHoldCheck} asks the group. An answer that doesn't name this
+     * VM doesn't end its term: whenever a VM joins or is dropped the group rebalances, and often
+     * names the same holder again a moment later. If another VM is assigned the cell, its first
+     * heartbeat ends this term. If that VM is not heard, the authority of this VM ends one lease
+     * after the last proof, and the other VM waits for that.
      *
      * @param generation generation of the group
      * @param holds true when the cell is assigned to this VM
--- a/core/src/test/java/org/boragegap/core/cell/CellHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/CellHistory.java
@@ -99,24 +99,9 @@
      * Simulates cuts between VMs that all reach the store, which assigns the cell anew again and
      * again. Some tasks run for long.
      */
-    List<String> playSplitsWithReassignments() {
+    List<String> playSplits(FakeGroup.Rebalances rebalances) {
         mNetwork.keepStore();
-        for (long at = 1_700; at < FAULTS_UNTIL_MS; at += 50 + mRandom.nextLong(600)) {
-            after(at, mGroup::rebalance);
-        }
-        return playZoneCuts();
-    }
-
-    /**
-     * Simulates the same with pauses that are longer than a lease: a VM that the group has named
-     * settles, while the one that was named after it acts.
-     */
-    List<String> playSplitsWithPairsOfReassignments() {
-        mNetwork.keepStore();
-        for (long at = 1_700; at < FAULTS_UNTIL_MS; at += 1_300 + mRandom.nextLong(1_000)) {
-            after(at, mGroup::rebalance);
-            after(at + 300 + mRandom.nextLong(700), mGroup::rebalance);
-        }
+        rebalances.schedule(mGroup, mClock, mRandom, FAULTS_UNTIL_MS);
         return playZoneCuts();
     }
 
@@ -346,14 +331,6 @@
         after(mDelays.storeMs(), () -> feed(vm, incarnation, joined));
     }
 
-    private void checkHold(FakeEntryVm vm, int incarnation, Membership.HoldCheck check) {
-        if (mNetwork.reachesStore(vm)) {
-            String member = vm.mAddress + "/" + incarnation;
-            mHoldChecks.send(
-                    mGroup, member, check, clock(vm), answer -> feed(vm, incarnation, answer));
-        }
-    }
-
     private void pollMembers(FakeEntryVm vm, int incarnation) {
         inIncarnation(
                 vm,
@@ -440,8 +417,8 @@
             }
         } else if (action instanceof MemberAction.ReadMembers) {
             readMembers(vm, incarnation);
-        } else if (action instanceof MemberAction.CheckHold check) {
-            checkHold(vm, incarnation, check.check());
+        } else if (action instanceof MemberAction.CheckHold check && mNetwork.reachesStore(vm)) {
+            mHoldChecks.send(mGroup, vm, check.check(), answer -> feed(vm, incarnation, answer));
         } else if (action instanceof MemberAction.Rejoin) {
             join(vm, incarnation, false);
         }
--- a/core/src/test/java/org/boragegap/core/cell/FakeGroup.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeGroup.java
@@ -23,6 +23,8 @@
     /** Longest lease that a layout asks the group for. */
     static final long LONG_LEASE_MS = 3_000;
 
+    private static final long FIRST_REBALANCE_MS = 1_700;
+
     private final Map<String, Long> mMembers = new LinkedHashMap<>();
     private final Set<String> mCandidates = new TreeSet<>();
     private final SplittableRandom mRandom;
@@ -164,6 +166,26 @@
         }
     }
 
+    /** A pattern in which the group assigns the partition anew. */
+    interface Rebalances {
+        void schedule(FakeGroup group, SimulatedClock clock, SplittableRandom random, long untilMs);
+    }
+
+    /** Assigns the partition anew every 50 to 650 ms. */
+    void scheduleRebalances(SimulatedClock clock, SplittableRandom random, long untilMs) {
+        for (long at = FIRST_REBALANCE_MS; at < untilMs; at += 50 + random.nextLong(600)) {
+            clock.after(at, this::rebalance);
+        }
+    }
+
+    /** Assigns the partition anew twice within a lease, and again after a pause. */
+    void schedulePairsOfRebalances(SimulatedClock clock, SplittableRandom random, long untilMs) {
+        for (long at = FIRST_REBALANCE_MS; at < untilMs; at += 1_300 + random.nextLong(1_000)) {
+            clock.after(at, this::rebalance);
+            clock.after(at + 300 + random.nextLong(700), this::rebalance);
+        }
+    }
+
     private void expire(long nowMs) {
         for (String member : List.copyOf(mMembers.keySet())) {
             if (nowMs - mMembers.get(member) > mLeaseMs) {
--- a/core/src/test/java/org/boragegap/core/cell/FakeHoldChecks.java
+++ b/core/src/test/java/org/boragegap/core/cell/FakeHoldChecks.java
@@ -26,19 +26,18 @@
     /**
      * Sends a check.
      *
-     * @param sent when it is sent, on the clock of the VM
      * @param done receives the answer, if it isn't lost
      */
     void send(
             FakeGroup group,
-            String member,
+            FakeEntryVm vm,
             Membership.HoldCheck check,
-            ClockReading sent,
             Consumer<MemberEvent> done) {
-        if (mRandom.nextInt(LOST_ONE_IN) == 0) {
-            return;
+        String member = vm.member();
+        ClockReading sent = vm.clock(mClock.nowMs());
+        if (mRandom.nextInt(LOST_ONE_IN) > 0) {
+            mClock.after(delayMs(), () -> answer(group, member, check, sent, done));
         }
-        mClock.after(delayMs(), () -> answer(group, member, check, sent, done));
     }
 
     private void answer(
--- a/core/src/test/java/org/boragegap/core/cell/HistoryKind.java
+++ b/core/src/test/java/org/boragegap/core/cell/HistoryKind.java
@@ -46,7 +46,7 @@
             CellHistory::withZones,
             history -> {
                 history.mOrders.longRunMs(HistoryKind.LONG_RUN_MS);
-                return history.playSplitsWithReassignments();
+                return history.playSplits(FakeGroup::scheduleRebalances);
             }),
 
     /** The same, with pauses after each two, in which a VM that was named can settle. */
@@ -54,7 +54,7 @@
             CellHistory::withZones,
             history -> {
                 history.mOrders.longRunMs(HistoryKind.LONG_RUN_MS);
-                return history.playSplitsWithPairsOfReassignments();
+                return history.playSplits(FakeGroup::schedulePairsOfRebalances);
             }),
     OUTAGES_WITH_LOSSES(
             CellHistory::withZones,
--- a/core/src/test/java/org/boragegap/core/cell/LoanHistory.java
+++ b/core/src/test/java/org/boragegap/core/cell/LoanHistory.java
@@ -197,11 +197,7 @@
     private void checkHold(FakeEntryVm vm, int incarnation, int cell, Membership.HoldCheck check) {
         if (reachesStore(vm)) {
             mHoldChecks.send(
-                    mGroups.get(cell),
-                    vm.mAddress + "/" + incarnation,
-                    check,
-                    vm.clock(mClock.nowMs()),
-                    answer -> feed(vm, incarnation, cell, answer));
+                    mGroups.get(cell), vm, check, answer -> feed(vm, incarnation, cell, answer));
         }
     }
 
--- a/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
+++ b/wire/src/test/java/org/boragegap/wire/PeerCodecProperties.java
@@ -76,13 +76,7 @@
         assertRoundTrips(new PeerMessage.Loans("a:1", new LoanMessage.Recall("s", count)));
     }
 
-    @Property(tries = 200, seed = "4")
-    void cellMessagesRoundTrip(
-            @ForAll long number, @ForAll int count, @ForAll boolean flag, @ForAll String text)
-            throws WireException {
-        ClockReading clock = new ClockReading(number, -number);
-        TaskName task = new TaskName(text, count, 1, 2);
-        Optional<String> label = flag ? Optional.of(text) : Optional.empty();
+    private static JobRequest job(String text, int count, long number, Optional<String> label) {
         int tasks = Math.max(1, count & Integer.MAX_VALUE);
         long estimateMs = number & Long.MAX_VALUE;
         StepRequest first =
@@ -92,7 +86,17 @@
         StepRequest third =
                 new StepRequest(1, 1, 2, tasks, estimateMs, List.of(0, 1), label, label, 4);
         List<StepRequest> steps = List.of(first, second, third);
-        JobRequest job = new JobRequest(text, "q", "s", 1, count, 1.5, number, text, steps, number);
+        return new JobRequest(text, "q", "s", 1, count, 1.5, number, text, steps, number);
+    }
+
+    @Property(tries = 200, seed = "4")
+    void cellMessagesRoundTrip(
+            @ForAll long number, @ForAll int count, @ForAll boolean flag, @ForAll String text)
+            throws WireException {
+        ClockReading clock = new ClockReading(number, -number);
+        TaskName task = new TaskName(text, count, 1, 2);
+        Optional<String> label = flag ? Optional.of(text) : Optional.empty();
+        JobRequest job = job(text, count, number, label);
         TargetInfo target =
                 new TargetInfo(
                         text, "h:1", "s", "d", count, 1, 2, Set.of("a", text), flag, !flag, number);
