--- a/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/CellNode.java
@@ -488,13 +488,7 @@
 
         @Override
         public void checkHold(Membership.HoldCheck check) {
-            mGroup.checkHold(
-                    mCell,
-                    check.since(),
-                    (unbroken, sent) -> {
-                        MemberEvent answer = new MemberEvent.HoldChecked(check, unbroken, sent);
-                        mThread.post(() -> mCells.on(mCell, answer));
-                    });
+            mGroup.checkHold(mCell, check, answer -> mThread.post(() -> mCells.on(mCell, answer)));
         }
 
         @Override
--- a/entry/src/main/java/org/boragegap/entry/cell/GroupMembership.java
+++ b/entry/src/main/java/org/boragegap/entry/cell/GroupMembership.java
@@ -7,13 +7,15 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.boragegap.core.ClockReading;
+import org.boragegap.core.cell.MemberEvent;
+import org.boragegap.core.cell.Membership;
 import org.boragegap.http.HostAndPort;
 import org.boragegap.http.HttpClient;
 import org.boragegap.platform.GroupAssignment;
@@ -188,10 +190,9 @@
     /**
      * Asks the store whether this VM has held a cell without a break.
      *
-     * @param sinceGeneration generation since which it has held the cell as far as is known
-     * @param done receives the answer and when the question was sent; is not called without answer
+     * @param done receives the answer; is not called if there is none
      */
-    void checkHold(int cell, long sinceGeneration, BiConsumer<Boolean, ClockReading> done) {
+    void checkHold(int cell, Membership.HoldCheck check, Consumer<MemberEvent> done) {
         if (mLeft) {
             return;
         }
@@ -200,21 +201,18 @@
                 GROUP,
                 mMemberName,
                 CELL_TOPIC_PREFIX + cell,
-                sinceGeneration,
+                check.since(),
                 ANSWER_TIMEOUT_MS,
-                result -> holdChecked(cell, result, sent, done));
-    }
-
-    private static void holdChecked(
-            int cell,
-            StoreResult<Boolean> result,
-            ClockReading sent,
-            BiConsumer<Boolean, ClockReading> done) {
-        if (result instanceof StoreResult.Success<Boolean> answer) {
-            done.accept(answer.value(), sent);
-        } else {
-            sLog.warn("cell {}: no answer whether it was held without a break: {}", cell, result);
-        }
+                result -> {
+                    if (result instanceof StoreResult.Success<Boolean> answer) {
+                        done.accept(new MemberEvent.HoldChecked(check, answer.value(), sent));
+                    } else {
+                        sLog.warn(
+                                "cell {}: no answer whether it was held without a break: {}",
+                                cell,
+                                result);
+                    }
+                });
     }
 
     /**
